--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target sets up what it needs; only Python 3.11, pip and make are assumed.
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+SOURCES := carobmoor stand_ins bench demo tools tests
+
+.PHONY: demo test check bench format lock clean
+
+$(VENV)/ready: pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --constraint requirements.lock --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/ready
+	$(RUN) -m demo
+
+test: check
+	$(RUN) -m tools.run_tests
+
+check: $(VENV)/ready
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
+
+bench: $(VENV)/ready
+	$(RUN) -m bench
+
+format: $(VENV)/ready
+	$(VENV)/bin/ruff check --fix --quiet $(SOURCES) || true
+	$(VENV)/bin/ruff format --quiet $(SOURCES)
+
+lock: $(VENV)/ready
+	$(VENV)/bin/pip freeze --exclude-editable > requirements.lock
+
+clean:
+	rm -rf $(VENV) .hypothesis .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on real processes and on the decision code; not tests."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,24 @@
+"""Runs the bench as `python -m bench [NAME]`."""
+
+import sys
+from types import MappingProxyType
+
+import fire
+
+from bench.hop import measure_hop
+
+_BENCHES = MappingProxyType({'hop': measure_hop})
+
+
+def main() -> None:
+    """Run one bench by name, or all of them."""
+    if len(sys.argv) > 1:
+        fire.Fire(dict(_BENCHES), name='bench')
+        return
+    for name, bench in _BENCHES.items():
+        sys.stdout.write(f'== {name}\n')
+        bench()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,177 @@
+"""The time that one hop adds to a call, against the direct call.
+
+Both ways are measured in one run, in interleaved rounds; the figures are
+medians over the rounds.
+"""
+
+import asyncio
+import statistics
+import sys
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from carobmoor import Call, Client
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    OutgoingRequest,
+    request_json,
+)
+from stand_ins.deployment import Deployment, Place, read_example
+
+_BODY: Final = b'x' * 140
+_HIGHEST_US: Final = 10_000_000
+_US_PER_S: Final = 1_000_000
+_US_PER_MS: Final = 1000
+_TICKS_PER_S: Final = 100
+_TIMEOUT_S: Final = 5
+_RATES: Final = (50, 200, 600)
+
+Way = Callable[[], Awaitable[None]]
+
+
+class Round(NamedTuple):
+    """One round of one way: its percentiles and the node's cost."""
+
+    p50_ms: float
+    p99_ms: float
+    node_cpu_us_per_call: float
+
+
+def measure_hop(
+    rounds: int = 5,
+    round_s: float = 4,
+    rates: Sequence[int] = _RATES,
+) -> None:
+    """Print the time added by one hop at several rates.
+
+    Args:
+        rounds: Interleaved rounds of each way.
+        round_s: The length of a round.
+        rates: Calls a second.
+    """
+    asyncio.run(_measure(rounds, round_s, rates))
+
+
+async def _measure(
+    rounds: int,
+    round_s: float,
+    rates: Sequence[int],
+) -> None:
+    place = Place('bookings', 'lagos', 'lagos-a', service_ms=0)
+    async with Deployment() as deployment:
+        await deployment.start((place,), read_example('adeyemi'))
+        pair = deployment.pairs[0]
+        pid = deployment.processes[f'node {pair.name}'].pid
+        pool = ConnectionPool()
+        async with Client((str(pair.node),), 'bench') as client:
+            ways = (_direct(pool, pair.backend_server), _hop(client))
+            _say('calls/s  way      p50 ms  p99 ms  node cpu us/call')
+            for rate in rates:
+                await _measure_rate(ways, rate, rounds, round_s, pid)
+        pool.close()
+        _say(f'node resident memory: {_resident_mb(pid):.1f} MB')
+
+
+async def _measure_rate(
+    ways: tuple[Way, Way],
+    rate: int,
+    rounds: int,
+    round_s: float,
+    pid: int,
+) -> None:
+    results: tuple[list[Round], list[Round]] = ([], [])
+    for _ in range(rounds):
+        for way, gathered in zip(ways, results, strict=True):
+            gathered.append(await _round(way, rate, round_s, pid))
+    _say(_line(rate, 'direct', _median(results[0])))
+    _say(_line(rate, 'one hop', _median(results[1])))
+    added_p50 = statistics.median(
+        after.p50_ms - before.p50_ms
+        for before, after in zip(*results, strict=True)
+    )
+    added_p99 = statistics.median(
+        after.p99_ms - before.p99_ms
+        for before, after in zip(*results, strict=True)
+    )
+    _say(f'{rate:>7}  added  {added_p50:>8.2f}{added_p99:>8.2f}')
+
+
+async def _round(way: Way, rate: int, round_s: float, pid: int) -> Round:
+    histogram = HdrHistogram(1, _HIGHEST_US, 3)
+    loop = asyncio.get_running_loop()
+    calls = int(rate * round_s)
+    cpu_s = _cpu_s(pid)
+    begun_s = loop.time()
+
+    async def call_at(due_s: float) -> None:
+        await asyncio.sleep(due_s - loop.time())
+        started_s = time.perf_counter()
+        await way()
+        took_s = time.perf_counter() - started_s
+        histogram.record_value(int(took_s * _US_PER_S))
+
+    await asyncio.gather(
+        *(call_at(begun_s + number / rate) for number in range(calls)),
+    )
+    return Round(
+        histogram.get_value_at_percentile(50) / _US_PER_MS,
+        histogram.get_value_at_percentile(99) / _US_PER_MS,
+        (_cpu_s(pid) - cpu_s) / calls * _US_PER_S,
+    )
+
+
+def _direct(pool: ConnectionPool, address: Address) -> Way:
+    request = OutgoingRequest('POST', '/bench', (), _BODY)
+
+    async def call() -> None:
+        answered = await request_json(pool, address, request, _TIMEOUT_S)
+        answered.unwrap()
+
+    return call
+
+
+def _hop(client: Client) -> Way:
+    wanted = Call('bookings', 'POST', '/bench', _BODY, rank='booking')
+
+    async def call() -> None:
+        answered = await client.call(wanted)
+        answered.unwrap()
+
+    return call
+
+
+def _median(gathered: Sequence[Round]) -> Round:
+    return Round(
+        statistics.median(one.p50_ms for one in gathered),
+        statistics.median(one.p99_ms for one in gathered),
+        statistics.median(one.node_cpu_us_per_call for one in gathered),
+    )
+
+
+def _line(rate: int, way: str, one: Round) -> str:
+    times = f'{one.p50_ms:>8.2f}{one.p99_ms:>8.2f}'
+    return f'{rate:>7}  {way:<7}{times}{one.node_cpu_us_per_call:>18.0f}'
+
+
+def _cpu_s(pid: int) -> float:
+    stat = Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _resident_mb(pid: int) -> float:
+    status = Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+    for line in status.splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) / 1024
+    return 0
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
--- /dev/null
+++ b/carobmoor/cli/_admin.py
@@ -0,0 +1,209 @@
+"""The commands that talk to a running node."""
+
+import asyncio
+import difflib
+import os
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+from result import Err
+
+from carobmoor.cli._output import fail, print_json
+from carobmoor.client import Call, Client
+from carobmoor.configuration import read_commented
+from carobmoor.transport import (
+    ConnectionPool,
+    JsonAnswer,
+    OutgoingRequest,
+    parse_address,
+    request_json,
+)
+
+_TOKEN_VARIABLE: Final = 'CAROBMOOR_TOKEN'
+_TIMEOUT_S: Final = 10
+_FIRST_FAILED_STATUS: Final = 400
+_CONFIGURATION: Final = '/_carobmoor/configuration'
+_GET: Final = 'GET'
+_EXIT_NOT_RUN: Final = 3
+_EXIT_UNKNOWN: Final = 4
+
+
+class ConfigCommands:
+    """Read and change the configuration through any node."""
+
+    def get(self, node: str) -> None:
+        """Print the configuration in force at a node.
+
+        Args:
+            node: A node's address as IP:PORT.
+        """
+        print_json(_request(node, _GET, _CONFIGURATION).body)
+
+    def put(self, path: str, node: str, base: int, reason: str) -> None:
+        """Make a document the next version.
+
+        Args:
+            path: The configuration document, JSON with comments.
+            node: A node's address as IP:PORT.
+            base: The version that the change was made on; 0 for the first.
+            reason: Why, for the history.
+        """
+        document = _read_document(path)
+        body = msgspec.json.encode(
+            {
+                'base_version': base,
+                'reason': reason,
+                'document': document,
+            },
+        )
+        print_json(_request(node, 'PUT', _CONFIGURATION, body).body)
+
+    def diff(self, path: str, node: str) -> None:
+        """Print how a document differs from the one in force.
+
+        Args:
+            path: The configuration document, JSON with comments.
+            node: A node's address as IP:PORT.
+        """
+        answered = _request(node, _GET, _CONFIGURATION)
+        current = answered.decode(dict[str, Any])['document']
+        lines = difflib.unified_diff(
+            _pretty(current),
+            _pretty(_read_document(path)),
+            'in force',
+            path,
+            lineterm='',
+        )
+        sys.stdout.write(''.join(f'{line}\n' for line in lines))
+
+    def history(self, node: str) -> None:
+        """Print the accepted versions, with who and why.
+
+        Args:
+            node: A node's address as IP:PORT.
+        """
+        print_json(_request(node, _GET, f'{_CONFIGURATION}/history').body)
+
+
+def status(node: str) -> None:
+    """Print the state of a node.
+
+    Args:
+        node: A node's address as IP:PORT.
+    """
+    print_json(_request(node, _GET, '/_carobmoor/status').body)
+
+
+def drain(node: str) -> None:
+    """Make a node leave gracefully.
+
+    Args:
+        node: A node's address as IP:PORT.
+    """
+    print_json(_request(node, 'POST', '/_carobmoor/drain').body)
+
+
+def call(
+    service: str,
+    target: str,
+    node: str,
+    method: str = _GET,
+    body: str = '',
+    rank: str = '',
+    timeout_ms: int = 2000,
+) -> None:
+    """Send one request through the library and print its answer.
+
+    Args:
+        service: The service to call.
+        target: The path, with a query if any.
+        node: Any node's address as IP:PORT.
+        method: The HTTP method.
+        body: The body of the request.
+        rank: The rank of the request; the least urgent by default.
+        timeout_ms: The deadline.
+    """
+    wanted = Call(
+        service,
+        method,
+        target,
+        str(body).encode(),
+        rank=rank,
+        timeout_ms=timeout_ms,
+        repeatable=method == _GET,
+    )
+    asyncio.run(_call(wanted, node))
+
+
+async def _call(wanted: Call, node: str) -> None:
+    async with Client((node,), caller='command-line') as client:
+        called = await client.call(wanted)
+    if isinstance(called, Err):
+        failure = called.err_value
+        unknown = failure.code == 'outcome_unknown'
+        outcome = 'unknown' if unknown else 'not run'
+        fail(
+            f'{outcome}: {failure.code} at step {failure.step}, '
+            f'peer {failure.peer}. {failure.detail}',
+            _EXIT_UNKNOWN if unknown else _EXIT_NOT_RUN,
+        )
+    answer = called.ok_value
+    sys.stdout.write(f'{answer.status} from {answer.owner}\n')
+    sys.stdout.buffer.write(b'%b\n' % answer.body)
+
+
+def _request(
+    node: str,
+    method: str,
+    target: str,
+    body: bytes = b'',
+) -> JsonAnswer:
+    return asyncio.run(_request_once(node, method, target, body))
+
+
+async def _request_once(
+    node: str,
+    method: str,
+    target: str,
+    body: bytes,
+) -> JsonAnswer:
+    try:
+        address = parse_address(node)
+    except ValueError:
+        fail(f'{node} is no address; give it as IP:PORT')
+    request = OutgoingRequest(method, target, _headers(), body)
+    pool = ConnectionPool()
+    called = await request_json(pool, address, request, _TIMEOUT_S)
+    pool.close()
+    if isinstance(called, Err):
+        failure = called.err_value
+        fail(f'{failure.peer}: {failure.reason} (step {failure.step})')
+    answer = called.ok_value
+    if answer.head.status >= _FIRST_FAILED_STATUS:
+        fail(f'{node} refused: {answer.body.decode()}')
+    return answer
+
+
+def _headers() -> tuple[tuple[bytes, bytes], ...]:
+    token = os.environ.get(_TOKEN_VARIABLE, '')
+    if not token:
+        return ()
+    return ((b'authorization', f'Bearer {token}'.encode()),)
+
+
+def _read_document(path: str) -> Any:
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        fail(f'{path}: {error.strerror}')
+    parsed = read_commented(text)
+    if isinstance(parsed, Err):
+        fail(f'{path}: {parsed.err_value[0]}')
+    return parsed.ok_value
+
+
+def _pretty(document: Any) -> list[str]:
+    encoded = msgspec.json.encode(document, order='deterministic')
+    return msgspec.json.format(encoded, indent=2).decode().splitlines()
--- /dev/null
+++ b/carobmoor/cli/_main.py
@@ -0,0 +1,110 @@
+"""The commands, as functions that `fire` makes a command line of."""
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+import fire
+import msgspec
+from result import Err
+
+from carobmoor.cli._admin import ConfigCommands, call, drain, status
+from carobmoor.cli._output import fail, print_json
+from carobmoor.configuration import (
+    Fault,
+    document_schema,
+    read_commented,
+    validate_document,
+)
+from carobmoor.node import (
+    load_settings,
+    run_node,
+    settings_schema,
+    validate_settings,
+)
+
+_EXIT_FAULTY: Final = 2
+
+
+def node(settings: str) -> None:
+    """Run a node beside its backend server until SIGTERM.
+
+    Args:
+        settings: The file with the node's settings, JSON with comments.
+    """
+    loaded = load_settings(settings)
+    if isinstance(loaded, Err):
+        _exit_with(loaded.err_value)
+    else:
+        asyncio.run(run_node(loaded.ok_value))
+
+
+def check(path: str) -> None:
+    """Check a settings file or a configuration document.
+
+    Every fault is printed with its path in the document, what was found and
+    what is allowed; the exit code is 2 when there is any.
+
+    Args:
+        path: The file to check.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        fail(f'{path}: {error.strerror}')
+    parsed = read_commented(text)
+    if isinstance(parsed, Err):
+        _exit_with(parsed.err_value)
+    candidate = parsed.unwrap()
+    is_settings = isinstance(candidate, dict) and 'listen' in candidate
+    validate = validate_settings if is_settings else validate_document
+    checked = validate(candidate)
+    if isinstance(checked, Err):
+        _exit_with(checked.err_value)
+    kind = 'settings' if is_settings else 'configuration'
+    sys.stdout.write(f'{path}: valid {kind}\n')
+
+
+def schema(of: str = 'configuration') -> None:
+    """Print a JSON Schema.
+
+    Args:
+        of: `configuration` or `settings`.
+    """
+    schemas = {'configuration': document_schema, 'settings': settings_schema}
+    if of not in schemas:
+        fail(f'no schema of {of}; choose one of {", ".join(schemas)}')
+    print_json(msgspec.json.encode(schemas[of]()))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.core.Display = _display
+    try:
+        fire.Fire(
+            {
+                'node': node,
+                'check': check,
+                'schema': schema,
+                'config': ConfigCommands,
+                'status': status,
+                'drain': drain,
+                'call': call,
+            },
+            name='carobmoor',
+        )
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+def _display(lines: Sequence[str], out: object) -> None:
+    """Print help without a pager, so that it works in scripts."""
+    sys.stdout.writelines(f'{line}\n' for line in lines)
+
+
+def _exit_with(faults: Sequence[Fault]) -> None:
+    for fault in faults:
+        sys.stderr.write(f'{fault}\n')
+    sys.exit(_EXIT_FAULTY)
--- /dev/null
+++ b/carobmoor/client/_messages.py
@@ -0,0 +1,36 @@
+"""What a caller asks for and what it gets."""
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+from carobmoor.transport import HeaderList
+
+
+class Call(NamedTuple):
+    """One request to a service.
+
+    A call that is not `repeatable` is sent at most once, however it fails.
+    """
+
+    service: str
+    method: str
+    target: str
+    body: bytes = b''
+    more_body: AsyncIterator[bytes] | None = None
+    headers: HeaderList = ()
+    rank: str = ''
+    timeout_ms: int = 2000
+    repeatable: bool = False
+    request_id: str = ''
+    depth: int = 0
+    caller: str = ''
+
+
+class CallAnswer(NamedTuple):
+    """The whole answer to a call, and the node that owned it."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+    owner: str
+    request_id: str
--- /dev/null
+++ b/carobmoor/configuration/_check.py
@@ -0,0 +1,51 @@
+"""Reading JSON with comments, and telling every fault of a document."""
+
+from collections.abc import Sequence
+from typing import Any, Final, NamedTuple
+
+import json5
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+_LONGEST_FOUND: Final = 60
+
+
+class Fault(NamedTuple):
+    """One fault: where in the document, what was found, what is allowed."""
+
+    path: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Write the fault in a line for an operator."""
+        return f'{self.path}: found {self.found}; {self.allowed}'
+
+
+def read_commented(text: str) -> Result[Any, Sequence[Fault]]:
+    """Parse JSON with comments."""
+    try:
+        return Ok(json5.loads(text))
+    except ValueError as error:
+        return Err((Fault('$', 'no JSON', str(error)),))
+
+
+def check_document(
+    adapter: TypeAdapter[Any],
+    candidate: object,
+) -> Result[Any, Sequence[Fault]]:
+    """Check a parsed document against its type and list every fault."""
+    try:
+        return Ok(adapter.validate_python(candidate))
+    except ValidationError as error:
+        return Err(tuple(_fault_of(entry) for entry in error.errors()))
+
+
+def _fault_of(entry: Any) -> Fault:
+    path = ''.join(_path_part(part) for part in entry['loc'])
+    found = 'nothing' if entry['type'] == 'missing' else repr(entry['input'])
+    return Fault(f'${path}', found[:_LONGEST_FOUND], entry['msg'])
+
+
+def _path_part(part: int | str) -> str:
+    return f'[{part}]' if isinstance(part, int) else f'.{part}'
--- /dev/null
+++ b/carobmoor/node/_body.py
@@ -0,0 +1,100 @@
+"""The body of an incoming request, streamed with a floor and a bound."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, Final
+
+from carobmoor.outcomes import Code
+from carobmoor.transport import ProgressFloor
+
+_DISCARD_S: Final = 1
+_DISCARD_BYTES: Final = 8_388_608
+
+Receive = Callable[[], Awaitable[Any]]
+
+
+class BodyFault(Exception):
+    """The body could not be read to its end; carries the code."""
+
+    def __init__(self, code: Code) -> None:
+        """Keep the code."""
+        super().__init__(code.value)
+        self.code = code
+
+
+class IncomingBody:
+    """The body of one request.
+
+    `first` holds the first chunk; `rest` gives the others, and is `None`
+    when the first was the whole body.
+    """
+
+    def __init__(
+        self,
+        receive: Receive,
+        floor: ProgressFloor,
+        most_bytes: int,
+    ) -> None:
+        """Bind the body to its source; nothing is read yet."""
+        self.first = b''
+        self.rest: AsyncIterator[bytes] | None = None
+        self.fault: Code | None = None
+        self.is_whole = False
+        self._receive = receive
+        self._floor = floor
+        self._most_bytes = most_bytes
+        self._received_bytes = 0
+
+    async def open(self) -> None:
+        """Read the first chunk; raises `BodyFault`."""
+        chunk, more = await self._next()
+        self.first = chunk
+        if more:
+            self.rest = self._stream()
+
+    async def discard(self) -> None:
+        """Read on without keeping anything, within a bound.
+
+        A connection that is closed with bytes unread is reset, and the
+        caller may lose the refusal that was written just before.
+        """
+        with contextlib.suppress(BodyFault, TimeoutError):
+            async with asyncio.timeout(_DISCARD_S):
+                await self._discard()
+
+    async def _discard(self) -> None:
+        left_bytes = _DISCARD_BYTES
+        more = True
+        while more and left_bytes > 0:
+            message = await self._receive()
+            left_bytes -= len(message.get('body', b''))
+            more = message.get('more_body', False)
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        more = True
+        while more:
+            chunk, more = await self._next()
+            yield chunk
+
+    async def _next(self) -> tuple[bytes, bool]:
+        message = await self._receive_in_time()
+        if message['type'] == 'http.disconnect':
+            raise self._faulty(Code.CALLER_GONE)
+        chunk = message.get('body', b'')
+        self.is_whole = not message.get('more_body', False)
+        self._received_bytes += len(chunk)
+        if self._received_bytes > self._most_bytes:
+            raise self._faulty(Code.BODY_TOO_LARGE)
+        return chunk, not self.is_whole
+
+    async def _receive_in_time(self) -> Any:
+        try:
+            async with asyncio.timeout(self._floor.interval_s):
+                return await self._receive()
+        except TimeoutError:
+            raise self._faulty(Code.BODY_STALLED) from None
+
+    def _faulty(self, code: Code) -> BodyFault:
+        self.fault = code
+        return BodyFault(code)
--- /dev/null
+++ b/carobmoor/node/_daemon.py
@@ -0,0 +1,160 @@
+"""The life of a node: start, announce, serve, leave."""
+
+import asyncio
+import gc
+import random
+import signal
+import time
+from typing import Any, Final
+
+from carobmoor.client import Dispatcher, learn_members
+from carobmoor.configuration import follow
+from carobmoor.membership import (
+    Gossip,
+    Member,
+    MembershipState,
+    Standing,
+    announce,
+    declare_self,
+    read_seeds,
+)
+from carobmoor.node._control import make_control_plane
+from carobmoor.node._data_plane import make_data_plane
+from carobmoor.node._server import make_server
+from carobmoor.node._settings import Settings
+from carobmoor.node._state import NodeState
+from carobmoor.platform import Platform
+from carobmoor.routing import RoutingState
+from carobmoor.telemetry import configure_logs, logger_for
+from carobmoor.transport import Address, ConnectionPool, parse_address
+
+_CONTROL_PREFIX: Final = '/_carobmoor/'
+_DEFAULT_LINGER_MS: Final = 2000
+_DEFAULT_MOST_HEADER_BYTES: Final = 32768
+_JOIN_INTERVAL_S: Final = 0.5
+_MS_PER_S: Final = 1000
+_COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
+_log = logger_for('node')
+
+
+async def run_node(settings: Settings) -> None:
+    """Run a node until it is told to stop and has left gracefully."""
+    configure_logs(settings.get('log_level', 'info'))
+    node = _assemble(settings)
+    leaving = asyncio.Event()
+    server = make_server(
+        _make_application(node, leaving),
+        settings['listen']['ip'],
+        settings['listen']['port'],
+        settings.get('most_header_bytes', _DEFAULT_MOST_HEADER_BYTES),
+    )
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, leaving.set)
+    _quiet_collector()
+    _log.info('Node starts.', address=node.here, service=node.service)
+    await _serve(node, server, leaving)
+    _log.info('Node stopped.', address=node.here)
+
+
+async def _serve(node: NodeState, server: Any, leaving: asyncio.Event) -> None:
+    background = [
+        asyncio.create_task(follow(node.platform, node.configuration)),
+        asyncio.create_task(_join(node)),
+        asyncio.create_task(node.gossip.run()),
+        asyncio.create_task(node.gate.watch()),
+    ]
+    serving = asyncio.create_task(server.serve())
+    leaver = asyncio.create_task(_leave(node, leaving))
+    await asyncio.wait(
+        (serving, leaver),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    server.should_exit = True
+    await serving
+    for task in (*background, leaver):
+        task.cancel()
+    await asyncio.gather(*background, leaver, return_exceptions=True)
+    node.pool.close()
+
+
+async def _leave(node: NodeState, leaving: asyncio.Event) -> None:
+    """Refuse new work, tell the others, and wait for the running work."""
+    await leaving.wait()
+    node.gate.is_leaving = True
+    declare_self(node.gossip.state, Standing.LEAVING, time.monotonic())
+    _log.info('Node leaves.', in_flight=node.gate.state.in_flight_total)
+    linger_ms = node.settings.get('leave_linger_ms', _DEFAULT_LINGER_MS)
+    await asyncio.sleep(linger_ms / _MS_PER_S)
+    await node.gate.wait_idle()
+
+
+async def _join(node: NodeState) -> None:
+    """Meet other nodes through the settings and the table service."""
+    here = Address(**node.settings['listen'])
+    region = node.settings['place']['region']
+    peers = [parse_address(peer) for peer in node.settings.get('peers', ())]
+    await announce(node.platform, region, here)
+    while not node.gossip.state.others():
+        for seed in (*peers, *await read_seeds(node.platform)):
+            if seed != here:
+                await node.gossip.exchange(seed)
+        await asyncio.sleep(_JOIN_INTERVAL_S)
+
+
+def _assemble(settings: Settings) -> NodeState:
+    pool = ConnectionPool()
+    place = settings['place']
+    platform = Platform(
+        pool,
+        Address(**settings['platform']['table_service']),
+        Address(**settings['platform']['object_store']),
+    )
+    routing = RoutingState(place['region'], place['availability_zone'])
+    rng = random.Random()
+    gossip = Gossip(_membership_of(settings, routing), pool, rng)
+    dispatcher = Dispatcher(routing, pool, rng)
+    return NodeState(settings, pool, platform, dispatcher, gossip)
+
+
+def _membership_of(
+    settings: Settings,
+    routing: RoutingState,
+) -> MembershipState:
+    place = settings['place']
+    me = Member(
+        str(Address(**settings['listen'])),
+        settings['service'],
+        place['region'],
+        place['availability_zone'],
+        int(time.time() * _MS_PER_S),
+        Standing.ALIVE,
+    )
+
+    def on_change(_: Member) -> None:
+        learn_members(routing, tuple(state.members.values()))
+
+    state = MembershipState(me, on_change)
+    return state
+
+
+def _make_application(node: NodeState, leaving: asyncio.Event) -> Any:
+    data_plane = make_data_plane(node)
+    control_plane = make_control_plane(node, leaving.set)
+
+    async def application(scope: Any, receive: Any, send: Any) -> None:
+        if scope['path'].startswith(_CONTROL_PREFIX):
+            if not control_plane.started:
+                await control_plane.start()
+            await control_plane(scope, receive, send)
+        else:
+            await data_plane(scope, receive, send)
+
+    return application
+
+
+def _quiet_collector() -> None:
+    """Keep the collector from pausing requests over long-lived objects."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECTOR_THRESHOLDS)
--- /dev/null
+++ b/carobmoor/node/_data_plane.py
@@ -0,0 +1,238 @@
+"""The path of a request through a node."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from carobmoor.admission import Arrival
+from carobmoor.client import (
+    REQUEST_ID_HEADER,
+    Call,
+    failure_of,
+)
+from carobmoor.configuration import ServiceDocument
+from carobmoor.node._body import BodyFault, IncomingBody, Receive
+from carobmoor.node._context import RequestContext, read_context
+from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
+from carobmoor.node._state import NodeState
+from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from carobmoor.routing import REPORT_HEADER, encode_report
+from carobmoor.transport import (
+    Answer,
+    HeaderList,
+    OutgoingRequest,
+    ProgressFloor,
+)
+from carobmoor.transport import (
+    send as send_request,
+)
+
+_MS_PER_S: Final = 1000
+_DEFAULT_DEADLINE_MS: Final = 10_000
+_DEFAULT_MOST_BODY_BYTES: Final = 1_073_741_824
+_DEFAULT_PROGRESS_MS: Final = 10_000
+_DEFAULT_PROGRESS_BYTES: Final = 1
+
+Application = Callable[[Any, Receive, Send], Awaitable[None]]
+
+
+class Exchange:
+    """One request on its way through the node."""
+
+    def __init__(
+        self,
+        context: RequestContext,
+        declared: ServiceDocument,
+        scope: Any,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Bind the request to its limits and to its caller."""
+        self.context = context
+        self.headers: HeaderList = scope['headers']
+        self.caller = context.caller or scope['client'][0]
+        self.send = send
+        self.started_s = time.monotonic()
+        deadline_ms = context.deadline_ms or declared.get(
+            'default_deadline_ms',
+            _DEFAULT_DEADLINE_MS,
+        )
+        self.deadline_s = self.started_s + deadline_ms / _MS_PER_S
+        self.floor = _floor_of(declared)
+        self.most_body_bytes = declared.get(
+            'most_body_bytes',
+            _DEFAULT_MOST_BODY_BYTES,
+        )
+        self.body = IncomingBody(receive, self.floor, self.most_body_bytes)
+
+    @property
+    def left_s(self) -> float:
+        """The time left before the deadline."""
+        return self.deadline_s - time.monotonic()
+
+
+def make_data_plane(node: NodeState) -> Application:
+    """Make the ASGI application that serves callers' requests."""
+
+    async def serve(scope: Any, receive: Receive, send: Send) -> None:
+        read = read_context(scope, node.here)
+        if isinstance(read, Err):
+            await send_failure(send, read.err_value, '')
+            return
+        context = read.ok_value
+        declared = _declared(node, context)
+        if isinstance(declared, Err):
+            await send_failure(send, declared.err_value, context.request_id)
+            return
+        exchange = Exchange(context, declared.ok_value, scope, receive, send)
+        failure = await _serve(node, exchange)
+        outcome = 'answered' if failure is None else failure.code.value
+        node.count(context.service, context.rank, outcome, exchange.started_s)
+        if failure is not None:
+            if not exchange.body.is_whole:
+                await exchange.body.discard()
+            extra = _own_headers(node)
+            await send_failure(send, failure, context.request_id, extra)
+
+    return serve
+
+
+async def _serve(node: NodeState, exchange: Exchange) -> Failure | None:
+    if exchange.context.body_bytes > exchange.most_body_bytes:
+        return NotRun(Code.BODY_TOO_LARGE, 'read_request', node.here)
+    try:
+        await exchange.body.open()
+    except BodyFault as fault:
+        return NotRun(fault.code, 'read_request', node.here)
+    if exchange.context.service == node.service:
+        return await _own(node, exchange)
+    return await _forward(node, exchange)
+
+
+async def _own(node: NodeState, exchange: Exchange) -> Failure | None:
+    """Run a request on the backend server beside this node."""
+    context = exchange.context
+    arrival = Arrival(
+        context.request_id,
+        context.rank or node.default_rank,
+        exchange.caller,
+        context.depth,
+        exchange.deadline_s,
+    )
+    entered = await node.gate.enter(arrival)
+    if isinstance(entered, Err):
+        return NotRun(entered.err_value, 'admission', node.here)
+    started_s = time.monotonic()
+    try:
+        return await _run(node, exchange)
+    finally:
+        node.gate.leave(arrival.rank, time.monotonic() - started_s)
+
+
+async def _run(node: NodeState, exchange: Exchange) -> Failure | None:
+    context = exchange.context
+    request = OutgoingRequest(
+        context.method,
+        context.target,
+        _backend_headers(exchange),
+        exchange.body.first,
+        exchange.body.rest,
+    )
+    sent = await send_request(
+        node.pool,
+        node.backend_server,
+        request,
+        exchange.left_s,
+    )
+    if isinstance(sent, Err):
+        return _lost(exchange, failure_of(sent.err_value))
+    extra = (
+        (REQUEST_ID_HEADER, context.request_id.encode()),
+        *_own_headers(node),
+    )
+    await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
+    return None
+
+
+async def _forward(node: NodeState, exchange: Exchange) -> Failure | None:
+    """Send a plain caller's request on to an owner of its service."""
+    context = exchange.context
+    call = Call(
+        context.service,
+        context.method,
+        context.target,
+        exchange.body.first,
+        exchange.body.rest,
+        _forwarded_headers(exchange),
+        rank=context.rank,
+        timeout_ms=max(1, int(exchange.left_s * _MS_PER_S)),
+        request_id=context.request_id,
+        depth=context.depth,
+        caller=exchange.caller,
+    )
+    sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call)
+    if isinstance(sent, Err):
+        return sent.err_value
+    extra = ((REQUEST_ID_HEADER, context.request_id.encode()),)
+    await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
+    return None
+
+
+def _declared(
+    node: NodeState,
+    context: RequestContext,
+) -> Result[ServiceDocument, NotRun]:
+    accepted = node.configuration.accepted
+    if accepted is None:
+        return Err(NotRun(Code.NOT_READY, 'configuration', node.here))
+    document = accepted.document
+    declared = document['services'].get(context.service)
+    if declared is None:
+        return Err(
+            NotRun(Code.UNKNOWN_SERVICE, 'configuration', node.here),
+        )
+    if context.rank and context.rank not in node.rank_names:
+        return Err(NotRun(Code.UNKNOWN_RANK, 'configuration', node.here))
+    return Ok(declared)
+
+
+def _lost(exchange: Exchange, failure: Failure) -> Failure:
+    fault = exchange.body.fault
+    if fault is not None and isinstance(failure, Unknown):
+        return failure._replace(detail=fault.value)
+    return failure
+
+
+def _floor_of(declared: ServiceDocument) -> ProgressFloor:
+    interval_ms = declared.get('progress_interval_ms', _DEFAULT_PROGRESS_MS)
+    least_bytes = declared.get('progress_least_bytes', _DEFAULT_PROGRESS_BYTES)
+    return ProgressFloor(interval_ms / _MS_PER_S, least_bytes)
+
+
+def _own_headers(node: NodeState) -> HeaderList:
+    headers = [(REPORT_HEADER, encode_report(node.report()))]
+    if node.gate.is_leaving:
+        headers.append((b'connection', b'close'))
+    return headers
+
+
+def _backend_headers(exchange: Exchange) -> HeaderList:
+    context = exchange.context
+    left_ms = max(1, int(exchange.left_s * _MS_PER_S))
+    return (
+        *end_to_end(exchange.headers),
+        (REQUEST_ID_HEADER, context.request_id.encode()),
+        (b'x-carobmoor-rank', context.rank.encode()),
+        (b'x-carobmoor-depth', b'%d' % context.depth),
+        (b'x-carobmoor-deadline-ms', b'%d' % left_ms),
+    )
+
+
+def _forwarded_headers(exchange: Exchange) -> HeaderList:
+    return [
+        (name, content)
+        for name, content in end_to_end(exchange.headers)
+        if name != b'host'
+    ]
--- /dev/null
+++ b/carobmoor/node/_relay.py
@@ -0,0 +1,95 @@
+"""Passing answers and refusals back to the caller."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Final
+
+from carobmoor.client import REQUEST_ID_HEADER
+from carobmoor.outcomes import (
+    OUTCOME_HEADER,
+    Failure,
+    NotRun,
+    encode_failure,
+    http_status_of,
+)
+from carobmoor.transport import Answer, HeaderList, ProgressFloor
+
+Send = Callable[[Any], Awaitable[None]]
+
+_HOP_HEADERS: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'transfer-encoding',
+        b'upgrade',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        REQUEST_ID_HEADER,
+    ),
+)
+_RESERVED_PREFIX: Final = b'x-carobmoor-'
+
+
+def end_to_end(headers: HeaderList) -> Sequence[tuple[bytes, bytes]]:
+    """Drop the headers that belong to one connection or to carobmoor."""
+    return [
+        (name, content)
+        for name, content in headers
+        if name not in _HOP_HEADERS and not name.startswith(_RESERVED_PREFIX)
+    ]
+
+
+async def relay_answer(
+    send: Send,
+    answer: Answer,
+    extra: HeaderList,
+    floor: ProgressFloor,
+) -> None:
+    """Stream an answer to the caller.
+
+    Raises `AnswerBroken` when it breaks off; the server then closes the
+    caller's connection, so that a short answer is never taken for a whole
+    one.
+    """
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': answer.head.status,
+            'headers': [*end_to_end(answer.head.headers), *extra],
+        },
+    )
+    held = b''
+    async for chunk in answer.chunks(floor):
+        if held:
+            await send(_body_message(held, more=True))
+        held = chunk
+    await send(_body_message(held, more=False))
+
+
+async def send_failure(
+    send: Send,
+    failure: Failure,
+    request_id: str,
+    extra: HeaderList = (),
+) -> None:
+    """Answer with a failure as JSON."""
+    body = encode_failure(failure, request_id)
+    outcome = b'not_run' if isinstance(failure, NotRun) else b'unknown'
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': http_status_of(failure),
+            'headers': [
+                (b'content-type', b'application/json'),
+                (b'content-length', b'%d' % len(body)),
+                (OUTCOME_HEADER.encode(), outcome),
+                (REQUEST_ID_HEADER, request_id.encode()),
+                *extra,
+            ],
+        },
+    )
+    await send(_body_message(body, more=False))
+
+
+def _body_message(chunk: bytes, more: bool) -> Any:
+    return {'type': 'http.response.body', 'body': chunk, 'more_body': more}
--- /dev/null
+++ b/carobmoor/node/_server.py
@@ -0,0 +1,126 @@
+"""The HTTP server of a node, with bounded headers and failures as JSON."""
+
+import contextlib
+import functools
+import logging
+from collections.abc import Iterator
+from typing import Any, Final
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from carobmoor.outcomes import (
+    OUTCOME_HEADER,
+    Code,
+    NotRun,
+    encode_failure,
+    http_status_of,
+)
+
+_KEEP_ALIVE_S: Final = 75
+_LINGER_S: Final = 1
+
+
+class NodeServer(uvicorn.Server):
+    """A server whose signals are handled by the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the signals alone."""
+        yield
+
+
+class BoundedProtocol(HttpToolsProtocol):
+    """Counts the bytes of a head and refuses what is too large."""
+
+    def __init__(self, most_header_bytes: int, **named: Any) -> None:
+        """Start in a head of which nothing was read."""
+        super().__init__(**named)
+        self.most_header_bytes = most_header_bytes
+        self.head_bytes = 0
+        self.in_head = True
+        self.is_refused = False
+
+    def data_received(self, received: bytes) -> None:
+        """Refuse a head that outgrows the bound, else parse on."""
+        if self.is_refused:
+            return
+        if self.in_head:
+            self.head_bytes += len(received)
+        super().data_received(received)
+        if self.in_head and self.head_bytes > self.most_header_bytes:
+            self._refuse(Code.HEADERS_TOO_LARGE, 'too many header bytes')
+
+    def on_headers_complete(self) -> None:
+        """Refuse a complete head over the bound before it runs."""
+        self.in_head = False
+        if _head_bytes(self.headers) > self.most_header_bytes:
+            self._refuse(Code.HEADERS_TOO_LARGE, 'too many header bytes')
+            return
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Count the next head from nothing."""
+        self.in_head = True
+        self.head_bytes = 0
+        if self.cycle is not None:
+            super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer what is no HTTP."""
+        self._refuse(Code.BAD_REQUEST, 'no valid HTTP request')
+
+    def _refuse(self, code: Code, detail: str) -> None:
+        if self.is_refused or self.transport.is_closing():
+            return
+        self.is_refused = True
+        server_name = ':'.join(str(part) for part in self.server or ())
+        refusal = NotRun(code, 'read_request', server_name, detail)
+        self.transport.write(_plain_refusal(refusal))
+        # Closing with bytes unread would reset the connection and could
+        # take the refusal with it.
+        self.transport.write_eof()
+        self.loop.call_later(_LINGER_S, self.transport.abort)
+
+
+def make_server(app: Any, ip: str, port: int, most_header_bytes: int) -> Any:
+    """Make a server for an ASGI application.
+
+    Requests that are no HTTP are answered 400 and requests with more header
+    bytes than allowed 431, both as JSON, and neither reaches the application.
+    """
+    logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
+    config = uvicorn.Config(
+        app,
+        host=ip,
+        port=port,
+        loop='asyncio',
+        http=functools.partial(  # type: ignore[arg-type]
+            BoundedProtocol,
+            most_header_bytes,
+        ),
+        ws='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=_KEEP_ALIVE_S,
+    )
+    return NodeServer(config)
+
+
+def _head_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    return sum(len(name) + len(content) for name, content in headers)
+
+
+def _plain_refusal(refusal: NotRun) -> bytes:
+    body = encode_failure(refusal, '')
+    head = (
+        f'HTTP/1.1 {http_status_of(refusal)} Refused\r\n'
+        'content-type: application/json\r\n'
+        f'{OUTCOME_HEADER}: not_run\r\n'
+        f'content-length: {len(body)}\r\n'
+        'connection: close\r\n\r\n'
+    )
+    return head.encode() + body
--- /dev/null
+++ b/carobmoor/node/_settings.py
@@ -0,0 +1,97 @@
+"""The settings of one node, in JSON with comments."""
+
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Annotated, Any, Final, Literal, NotRequired
+
+from pydantic import ConfigDict, Field, TypeAdapter, with_config
+from result import Err, Ok, Result
+from typing_extensions import TypedDict
+
+from carobmoor.configuration import Fault, check_document, read_commented
+
+_STRICT: Final = ConfigDict(extra='forbid', strict=True)
+
+Name = Annotated[str, Field(pattern='^[a-z][a-z0-9-]{0,62}$')]
+IpNumber = Annotated[str, Field(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
+Port = Annotated[int, Field(ge=1, le=65535)]
+Peer = Annotated[str, Field(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')]
+LogLevel = Literal['debug', 'info', 'warning', 'error']
+
+
+@with_config(_STRICT)
+class EndpointSettings(TypedDict):
+    """Where another process listens."""
+
+    ip: IpNumber
+    port: Port
+
+
+@with_config(_STRICT)
+class PlaceSettings(TypedDict):
+    """Where this instance stands."""
+
+    region: Name
+    availability_zone: Name
+
+
+@with_config(_STRICT)
+class PlatformSettings(TypedDict):
+    """The platform's two services."""
+
+    table_service: EndpointSettings
+    object_store: EndpointSettings
+
+
+@with_config(_STRICT)
+class OperatorSettings(TypedDict):
+    """An operator, known by the digest of a token."""
+
+    name: Name
+    token_sha256: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+
+
+@with_config(_STRICT)
+class Settings(TypedDict):
+    """Everything that a node is told at its start."""
+
+    listen: EndpointSettings
+    place: PlaceSettings
+    service: Name
+    backend_server: EndpointSettings
+    platform: PlatformSettings
+    # Nodes to meet when the table service can't name any.
+    peers: NotRequired[Sequence[Peer]]
+    operators: NotRequired[Sequence[OperatorSettings]]
+    log_level: NotRequired[LogLevel]
+    # How long a leaving node keeps refusing before it stops.
+    leave_linger_ms: NotRequired[Annotated[int, Field(ge=0, le=600_000)]]
+    most_header_bytes: NotRequired[Annotated[int, Field(ge=1024, le=1_048_576)]]
+
+
+_ADAPTER: Final[TypeAdapter[Settings]] = TypeAdapter(Settings)
+
+
+def validate_settings(
+    candidate: object,
+) -> Result[Settings, Sequence[Fault]]:
+    """Check parsed settings; every fault is told with its path."""
+    return check_document(_ADAPTER, candidate)
+
+
+def load_settings(path: str) -> Result[Settings, Sequence[Fault]]:
+    """Read and check a settings file."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        return Err((Fault(path, 'no readable file', str(error)),))
+    parsed = read_commented(text)
+    if isinstance(parsed, Err):
+        return parsed
+    checked = validate_settings(parsed.ok_value)
+    return checked if isinstance(checked, Err) else Ok(checked.ok_value)
+
+
+def settings_schema() -> Mapping[str, Any]:
+    """Give the JSON Schema of the settings."""
+    return _ADAPTER.json_schema()
--- /dev/null
+++ b/carobmoor/node/_state.py
@@ -0,0 +1,83 @@
+"""The state of a node that its parts share."""
+
+import time
+from typing import Final
+
+from carobmoor.admission import AdmissionPolicy, Gate
+from carobmoor.client import Dispatcher
+from carobmoor.configuration import (
+    Accepted,
+    ConfigurationState,
+    admission_policy_of,
+)
+from carobmoor.membership import Gossip
+from carobmoor.node._settings import Settings
+from carobmoor.platform import Platform
+from carobmoor.routing import LoadReport
+from carobmoor.telemetry import NodeMetrics
+from carobmoor.transport import Address, ConnectionPool
+
+_NO_POLICY: Final = AdmissionPolicy(0, 0, ())
+_US_PER_S: Final = 1_000_000
+
+
+class NodeState:
+    """The parts of one node."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        pool: ConnectionPool,
+        platform: Platform,
+        dispatcher: Dispatcher,
+        gossip: Gossip,
+    ) -> None:
+        """Bind the parts; the node is not ready before a configuration."""
+        self.settings = settings
+        self.service = settings['service']
+        self.here = str(Address(**settings['listen']))
+        self.backend_server = Address(**settings['backend_server'])
+        self.pool = pool
+        self.platform = platform
+        self.dispatcher = dispatcher
+        self.gossip = gossip
+        self.metrics = NodeMetrics()
+        self.gate = Gate(_NO_POLICY)
+        self.configuration = ConfigurationState(self._put_in_force)
+        self.rank_names: frozenset[str] = frozenset()
+        self.default_rank = ''
+
+    def report(self) -> LoadReport:
+        """Tell the load of the backend server as it is now."""
+        admission = self.gate.state
+        return LoadReport(
+            max(1, admission.policy.slots),
+            admission.in_flight_total,
+            admission.queued_total,
+            int(admission.service_time_s * _US_PER_S),
+            self.gate.is_leaving,
+        )
+
+    def count(
+        self,
+        service: str,
+        rank: str,
+        outcome: str,
+        started_s: float,
+    ) -> None:
+        """Count a request that ended here."""
+        rank = rank or self.default_rank
+        self.metrics.requests.labels(service, rank, outcome).inc()
+        took_s = time.monotonic() - started_s
+        self.metrics.latency.labels(service, rank).observe(took_s)
+
+    def _put_in_force(self, accepted: Accepted) -> None:
+        document = accepted.document
+        names = [rank['name'] for rank in document['ranks']]
+        self.rank_names = frozenset(names)
+        self.default_rank = names[-1]
+        self.metrics.configuration_version.set(accepted.head.version)
+        if self.service in document['services']:
+            policy = admission_policy_of(document, self.service)
+            self.gate.state.replace_policy(policy)
+            self.gate.pump()
--- /dev/null
+++ b/carobmoor/outcomes/_failures.py
@@ -0,0 +1,95 @@
+"""The two ways in which a request fails, and the codes that say why."""
+
+import enum
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+
+class Code(enum.StrEnum):
+    """The reason of a failure, stable across releases."""
+
+    BAD_REQUEST = 'bad_request'
+    HEADERS_TOO_LARGE = 'headers_too_large'
+    BODY_TOO_LARGE = 'body_too_large'
+    BODY_STALLED = 'body_stalled'
+    UNKNOWN_SERVICE = 'unknown_service'
+    UNKNOWN_RANK = 'unknown_rank'
+    UNAUTHORISED = 'unauthorised'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not_found'
+    CONFLICT = 'conflict'
+    DEADLINE_LAPSED = 'deadline_lapsed'
+    DEADLINE_UNREACHABLE = 'deadline_unreachable'
+    QUEUE_FULL = 'queue_full'
+    CALLER_GONE = 'caller_gone'
+    LEAVING = 'leaving'
+    NOT_READY = 'not_ready'
+    NO_CANDIDATE = 'no_candidate'
+    NOT_SENT = 'not_sent'
+    ALREADY_RUN = 'already_run'
+    TICKET_REFUSED = 'ticket_refused'
+    QUARANTINED = 'quarantined'
+    STORE_UNAVAILABLE = 'store_unavailable'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+
+
+_STATUS_BY_CODE: Final[Mapping[Code, int]] = MappingProxyType(
+    {
+        Code.BAD_REQUEST: 400,
+        Code.HEADERS_TOO_LARGE: 431,
+        Code.BODY_TOO_LARGE: 413,
+        Code.BODY_STALLED: 408,
+        Code.UNKNOWN_SERVICE: 404,
+        Code.UNKNOWN_RANK: 400,
+        Code.UNAUTHORISED: 401,
+        Code.FORBIDDEN: 403,
+        Code.NOT_FOUND: 404,
+        Code.CONFLICT: 409,
+        Code.DEADLINE_LAPSED: 408,
+        Code.ALREADY_RUN: 409,
+        Code.TICKET_REFUSED: 409,
+        Code.OUTCOME_UNKNOWN: 502,
+    }
+)
+_STATUS_NOT_RUN: Final = 503
+
+
+class NotRun(NamedTuple):
+    """The request did not run; sending it again is safe.
+
+    `step` and `peer` name where the refusal arose, the peer as `ip:port`.
+    """
+
+    code: Code
+    step: str
+    peer: str
+    detail: str = ''
+
+
+class Unknown(NamedTuple):
+    """The request may have run; only its caller may decide what to do.
+
+    `step` and `peer` name where the call was lost, the peer as `ip:port`.
+    """
+
+    step: str
+    peer: str
+    detail: str = ''
+
+    @property
+    def code(self) -> Code:
+        """The one code of this kind of failure."""
+        return Code.OUTCOME_UNKNOWN
+
+
+Failure = NotRun | Unknown
+
+
+def http_status_of(failure: Failure) -> int:
+    """Give the HTTP status under which a failure is told to a caller.
+
+    Faults of the request itself are 4xx, a refusal is 503, and an unknown
+    outcome is 502.
+    """
+    return _STATUS_BY_CODE.get(failure.code, _STATUS_NOT_RUN)
--- /dev/null
+++ b/carobmoor/telemetry/_logs.py
@@ -0,0 +1,58 @@
+"""Structured logs: short sentences with a fixed prefix for each part."""
+
+import logging
+import sys
+from typing import Any, Final
+
+import structlog
+
+_SECRET_KEYS: Final = frozenset(('token', 'authorization', 'password', 'key'))
+_PARTS: Final = '[{part}] {event}'
+
+
+def configure_logs(level_name: str) -> None:
+    """Write JSON lines to standard error from `level_name` on."""
+    structlog.configure(
+        processors=[
+            structlog.stdlib.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            _hide_secrets,
+            _prefix_part,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            _level_of(level_name),
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+def set_log_level(level_name: str) -> None:
+    """Change the level of every logger of this process."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(
+            _level_of(level_name),
+        ),
+    )
+
+
+def logger_for(part: str) -> Any:
+    """Give the logger of one part; its lines start with `[part]`."""
+    return structlog.get_logger(part=part)
+
+
+def _level_of(level_name: str) -> int:
+    return logging.getLevelNamesMapping()[level_name.upper()]
+
+
+def _hide_secrets(_logger: Any, _method: str, event: Any) -> Any:
+    for name in _SECRET_KEYS.intersection(event):
+        event[name] = 'hidden'
+    return event
+
+
+def _prefix_part(_logger: Any, _method: str, event: Any) -> Any:
+    part = event.pop('part', 'carobmoor')
+    event['event'] = _PARTS.format(part=part, event=event['event'])
+    return event
--- /dev/null
+++ b/carobmoor/telemetry/_metrics.py
@@ -0,0 +1,65 @@
+"""The metrics of a node, in a registry of its own."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+_LATENCY_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.5,
+    5,
+    10,
+)
+
+
+class NodeMetrics:
+    """What a node counts; labels are bounded by the configuration."""
+
+    def __init__(self) -> None:
+        """Register every metric with its help."""
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'carobmoor_requests',
+            'Requests ended at this node, by outcome.',
+            ('service', 'rank', 'outcome'),
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            'carobmoor_request_duration_seconds',
+            'Time from arrival to the last byte of the answer.',
+            ('service', 'rank'),
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            'carobmoor_slots_in_use',
+            'Slots of the backend server in use.',
+            registry=self.registry,
+        )
+        self.queued = Gauge(
+            'carobmoor_requests_queued',
+            'Requests that wait for a slot.',
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            'carobmoor_configuration_version',
+            'The version of the configuration in force.',
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Write the metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/carobmoor/transport/__init__.py
@@ -0,0 +1,42 @@
+"""Connections to backend servers and nodes that know the step of a failure.
+
+A call that fails tells at which step it failed, since only "no byte of this
+request was written" proves, without the other side's word, that it did not
+run.
+"""
+
+from carobmoor.transport._connection import Connection
+from carobmoor.transport._exchange import Answer, AnswerBroken, send
+from carobmoor.transport._json import JsonAnswer, read_whole, request_json
+from carobmoor.transport._messages import (
+    Address,
+    AnswerHead,
+    HeaderList,
+    OutgoingRequest,
+    ProgressFloor,
+    header_of,
+    parse_address,
+)
+from carobmoor.transport._pool import ConnectionPool
+from carobmoor.transport._steps import CallFailure, Step, proves_not_run
+
+__all__ = [
+    'Address',
+    'Answer',
+    'AnswerBroken',
+    'AnswerHead',
+    'CallFailure',
+    'Connection',
+    'ConnectionPool',
+    'HeaderList',
+    'JsonAnswer',
+    'OutgoingRequest',
+    'ProgressFloor',
+    'Step',
+    'header_of',
+    'parse_address',
+    'proves_not_run',
+    'read_whole',
+    'request_json',
+    'send',
+]
--- /dev/null
+++ b/carobmoor/transport/_connection.py
@@ -0,0 +1,182 @@
+"""One connection to a backend server or node, one request at a time on it."""
+
+import asyncio
+from collections import deque
+from typing import Final
+
+import httptools
+
+from carobmoor.transport._messages import AnswerHead
+from carobmoor.transport._steps import Step
+
+_PAUSE_READING_BYTES: Final = 262144
+_LAST_INFORMATIONAL_STATUS: Final = 199
+
+
+class Connection(asyncio.Protocol):
+    """The state of one connection and of the exchange that runs on it.
+
+    A connection serves one exchange at a time. It may be used again only
+    when `reusable` says so: after a whole answer, nothing left unread, and
+    no wish of the peer to close.
+    """
+
+    def __init__(self, peer: str) -> None:
+        """Make a connection that is not connected yet."""
+        self.peer = peer
+        self.step = Step.CONNECT
+        self.idle_since_s = float(0)
+        self.ended = False
+        self.request_cut_short = False
+        self.lost_reason = ''
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head: AnswerHead | None = None
+        self._chunks: deque[bytes] = deque()
+        self._buffered_bytes = 0
+        self._reading_paused = False
+        self._writable: asyncio.Future[None] | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether bytes can still be written."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may follow on this connection."""
+        left_over = self.request_cut_short or self._chunks
+        whole = self.ended and not left_over
+        return whole and self.is_open and self._parser.should_keep_alive()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by the event loop."""
+        self._transport = transport  # type: ignore[assignment]
+        self.step = Step.BEFORE_FIRST_BYTE
+
+    def data_received(self, received: bytes) -> None:
+        """Feed the parser; bytes without an exchange close the connection."""
+        if self.ended or self.step is Step.BEFORE_FIRST_BYTE:
+            self.close('bytes without a request')
+            return
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserError as error:
+            self.close(f'malformed answer: {error}')
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Wake whoever waits on this connection."""
+        if not self.lost_reason:
+            self.lost_reason = str(error or 'connection closed by the peer')
+        self._wake()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Hold back whoever writes a body until the peer takes it."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let the writer of a body go on."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collect one header of the answer."""
+        self._headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Publish the head of the answer, unless it is informational."""
+        status = self._parser.get_status_code()
+        if status > _LAST_INFORMATIONAL_STATUS:
+            self._head = AnswerHead(status, self._headers)
+            self._wake()
+
+    def on_body(self, chunk: bytes) -> None:
+        """Keep a chunk, and stop reading while too many wait."""
+        self._chunks.append(chunk)
+        self._buffered_bytes += len(chunk)
+        if self._buffered_bytes > _PAUSE_READING_BYTES:
+            self._pause_reading()
+        self._wake()
+
+    def on_message_complete(self) -> None:
+        """Mark the answer as whole."""
+        if self._head is None:
+            self._headers = []
+            return
+        self.ended = True
+        self._wake()
+
+    def begin(self) -> None:
+        """Forget the last exchange and make ready for the next."""
+        self.step = Step.BEFORE_FIRST_BYTE
+        self.ended = False
+        self._headers = []
+        self._head = None
+        self._parser = httptools.HttpResponseParser(self)
+
+    def write(self, written: bytes, step: Step) -> None:
+        """Write bytes and note that the call has come as far as `step`."""
+        if self._transport is not None and self.is_open:
+            self._transport.write(written)
+            self.step = step
+
+    async def drain(self) -> None:
+        """Wait until the peer has taken enough of what was written."""
+        if self._writable is not None and self.is_open:
+            await self._writable
+
+    async def read_head(self) -> AnswerHead | None:
+        """Wait for the head of the answer; `None` when the peer is gone."""
+        while self._head is None and self.is_open:
+            await self._wait()
+        return self._head
+
+    async def read_chunk(self) -> bytes:
+        """Wait for the next chunk; empty at the end or when lost.
+
+        `ended` tells the two apart.
+        """
+        while not self._chunks and not self.ended and self.is_open:
+            await self._wait()
+        if not self._chunks:
+            return b''
+        chunk = self._chunks.popleft()
+        self._buffered_bytes -= len(chunk)
+        if self._reading_paused and not self._chunks:
+            self._resume_reading()
+        return chunk
+
+    def close(self, reason: str) -> None:
+        """Close at once; whatever was not sent is dropped."""
+        if not self.lost_reason:
+            self.lost_reason = reason
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._reading_paused:
+            self._transport.pause_reading()
+            self._reading_paused = True
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and self.is_open:
+            self._transport.resume_reading()
+        self._reading_paused = False
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
--- /dev/null
+++ b/carobmoor/transport/_pool.py
@@ -0,0 +1,91 @@
+"""Idle connections, kept per peer for the next request."""
+
+import asyncio
+import ssl
+from collections import defaultdict, deque
+from typing import Final
+
+from result import Err, Ok, Result
+
+from carobmoor.transport._connection import Connection
+from carobmoor.transport._messages import Address
+from carobmoor.transport._steps import CallFailure, Step
+
+_IDLE_LIFETIME_S: Final = 20
+_MOST_IDLE_PER_PEER: Final = 64
+_CONNECT_TIMEOUT_S: Final = 2
+
+
+class ConnectionPool:
+    """The idle connections of one process.
+
+    Connections are taken last in, first out, so that the surplus of a burst
+    grows old and is closed. An idle connection lives shorter than a peer
+    keeps it, so that a request seldom meets a connection just being closed.
+    """
+
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        """Make an empty pool; with `tls` every connection is encrypted."""
+        self._tls = tls
+        self._idle: defaultdict[Address, deque[Connection]] = defaultdict(deque)
+
+    async def acquire(
+        self,
+        address: Address,
+    ) -> Result[Connection, CallFailure]:
+        """Give an idle connection to the address or open a new one."""
+        connection = self._take_idle(address)
+        if connection is None:
+            return await self._open(address)
+        connection.begin()
+        return Ok(connection)
+
+    def release(self, address: Address, connection: Connection) -> None:
+        """Take back a connection; one that can't be used again is closed."""
+        idle = self._idle[address]
+        if not connection.reusable or len(idle) >= _MOST_IDLE_PER_PEER:
+            connection.close('not used again')
+            return
+        connection.idle_since_s = _now_s()
+        idle.append(connection)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to a peer that is leaving or gone."""
+        for connection in self._idle.pop(address, ()):
+            connection.close('peer left')
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in tuple(self._idle):
+            self.forget(address)
+
+    def _take_idle(self, address: Address) -> Connection | None:
+        idle = self._idle.get(address)
+        oldest_s = _now_s() - _IDLE_LIFETIME_S
+        while idle:
+            connection = idle.pop()
+            if connection.is_open and connection.idle_since_s > oldest_s:
+                return connection
+            connection.close('idle for too long')
+        return None
+
+    async def _open(self, address: Address) -> Result[Connection, CallFailure]:
+        loop = asyncio.get_running_loop()
+        peer = str(address)
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(peer),
+                    address.ip,
+                    address.port,
+                    ssl=self._tls,
+                )
+        except OSError as error:
+            reason = str(error) or type(error).__name__
+            return Err(CallFailure(Step.CONNECT, peer, reason))
+        connection.begin()
+        return Ok(connection)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/stand_ins/backend_server.py
@@ -0,0 +1,238 @@
+"""A stand-in for a backend server.
+
+Run it as `python -m stand_ins.backend_server --port PORT --name NAME`. It
+answers each request after its service time with its name, the request id and
+the digest of the body, and counts how often each request id was started.
+`POST /_backend/faults` sets its misbehaviour; `GET /_backend/starts` tells
+what it ran.
+"""
+
+import asyncio
+import hashlib
+import json
+import os
+import random
+import signal
+import time
+from typing import Any
+
+import fire
+import uvicorn
+
+_CRASH_HEADER = b'x-crash'
+_SERVICE_MS_HEADER = b'x-service-ms'
+_REQUEST_ID_HEADER = b'x-carobmoor-request-id'
+
+
+class Backend:
+    """The slots, the misbehaviour and the record of one backend server."""
+
+    def __init__(self, name: str, slots: int, service_ms: float) -> None:
+        """Start well and warm unless `cold_start_ms` says otherwise."""
+        self.name = name
+        self.slots = slots
+        self.service_ms = service_ms
+        self.slowdown = float(1)
+        self.fails = False
+        self.sheds = False
+        self.drains = False
+        self.cold_start_ms = 0
+        self.health = 'honest'
+        self.load_lag_ms = 0
+        self.started_s = time.monotonic()
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.cancelled = 0
+        self.starts: dict[str, int] = {}
+        self.ended: dict[str, int] = {}
+        self.rng = random.Random(name)
+
+    def service_time_s(self, headers: dict[bytes, bytes]) -> float:
+        """Draw the service time of one request, unless it names its own."""
+        wanted_ms = headers.get(_SERVICE_MS_HEADER)
+        if wanted_ms is not None:
+            return float(wanted_ms) / 1000
+        age_ms = (time.monotonic() - self.started_s) * 1000
+        cold = 5 if age_ms < self.cold_start_ms else 1
+        return (
+            self.rng.expovariate(1)
+            * self.service_ms
+            * self.slowdown
+            * (cold / 1000)
+        )
+
+
+def make_application(backend: Backend) -> Any:
+    """Make the ASGI application of a backend server."""
+    lagging_load = [0]
+
+    async def application(scope: Any, receive: Any, send: Any) -> None:
+        if scope['type'] != 'http':
+            return
+        if scope['path'].startswith('/_backend/'):
+            await _control(backend, lagging_load, scope, receive, send)
+            return
+        headers = dict(scope['headers'])
+        await _serve(backend, headers, scope, receive, send)
+
+    return application
+
+
+async def _serve(
+    backend: Backend,
+    headers: dict[bytes, bytes],
+    scope: Any,
+    receive: Any,
+    send: Any,
+) -> None:
+    request_id = headers.get(_REQUEST_ID_HEADER, b'').decode()
+    backend.starts[request_id] = backend.starts.get(request_id, 0) + 1
+    backend.in_flight += 1
+    backend.most_in_flight = max(backend.most_in_flight, backend.in_flight)
+    try:
+        await _run(backend, request_id, headers, scope, receive, send)
+    finally:
+        backend.in_flight -= 1
+
+
+async def _run(
+    backend: Backend,
+    request_id: str,
+    headers: dict[bytes, bytes],
+    scope: Any,
+    receive: Any,
+    send: Any,
+) -> None:
+    if _CRASH_HEADER in headers:
+        os.kill(os.getpid(), signal.SIGKILL)
+    if backend.fails:
+        await _answer(send, 500, b'failed')
+        return
+    if backend.sheds or backend.drains:
+        await _answer(send, 503, b'shedding')
+        return
+    digest, received_bytes = await _digest_of(receive)
+    gone = asyncio.ensure_future(_wait_gone(receive))
+    work = asyncio.ensure_future(
+        asyncio.sleep(backend.service_time_s(headers)),
+    )
+    await asyncio.wait((gone, work), return_when=asyncio.FIRST_COMPLETED)
+    gone.cancel()
+    if not work.done():
+        work.cancel()
+        backend.cancelled += 1
+        return
+    backend.ended[request_id] = backend.ended.get(request_id, 0) + 1
+    wanted = int(headers.get(b'x-answer-bytes', b'0'))
+    if wanted:
+        await _answer_large(send, wanted)
+        return
+    await _answer(
+        send,
+        200,
+        json.dumps(
+            {
+                'backend_server': backend.name,
+                'request_id': request_id,
+                'body_sha256': digest,
+                'body_bytes': received_bytes,
+                'target': scope['path'],
+            },
+        ).encode(),
+    )
+
+
+async def _digest_of(receive: Any) -> tuple[str, int]:
+    digest = hashlib.sha256()
+    received_bytes = 0
+    more = True
+    while more:
+        message = await receive()
+        chunk = message.get('body', b'')
+        digest.update(chunk)
+        received_bytes += len(chunk)
+        more = message.get('more_body', False)
+    return digest.hexdigest(), received_bytes
+
+
+async def _wait_gone(receive: Any) -> None:
+    message = await receive()
+    while message['type'] != 'http.disconnect':
+        message = await receive()
+
+
+async def _answer(send: Any, status: int, body: bytes) -> None:
+    headers = [(b'content-length', str(len(body)).encode())]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers},
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def _answer_large(send: Any, wanted_bytes: int) -> None:
+    headers = [(b'content-length', str(wanted_bytes).encode())]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': headers},
+    )
+    while wanted_bytes:
+        chunk = bytes(min(wanted_bytes, 65536))
+        wanted_bytes -= len(chunk)
+        message = {'type': 'http.response.body', 'body': chunk}
+        await send({**message, 'more_body': wanted_bytes > 0})
+
+
+async def _control(
+    backend: Backend,
+    lagging_load: list[int],
+    scope: Any,
+    receive: Any,
+    send: Any,
+) -> None:
+    if scope['path'] == '/_backend/faults':
+        message = await receive()
+        for name, setting in json.loads(message['body'] or b'{}').items():
+            setattr(backend, name, setting)
+        told: Any = {'name': backend.name}
+    elif scope['path'] == '/_backend/health':
+        honest = 'ok' if not backend.fails else 'failing'
+        told = honest if backend.health == 'honest' else backend.health
+    elif scope['path'] == '/_backend/load':
+        told = lagging_load[0]
+        asyncio.get_running_loop().call_later(
+            backend.load_lag_ms / 1000,
+            lagging_load.__setitem__,
+            0,
+            backend.in_flight,
+        )
+    else:
+        told = {
+            'starts': backend.starts,
+            'ended': backend.ended,
+            'most_in_flight': backend.most_in_flight,
+            'cancelled': backend.cancelled,
+        }
+    await _answer(send, 200, json.dumps(told).encode())
+
+
+def serve(
+    port: int,
+    name: str = 'backend-server',
+    ip: str = '127.0.0.1',
+    slots: int = 9,
+    service_ms: float = 5,
+) -> None:
+    """Serve until stopped; SIGTERM ends the running requests first."""
+    backend = Backend(name, slots, service_ms)
+    uvicorn.run(
+        make_application(backend),
+        host=ip,
+        port=port,
+        loop='asyncio',
+        lifespan='off',
+        log_level='error',
+        timeout_keep_alive=75,
+    )
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
--- /dev/null
+++ b/stand_ins/deployment.py
@@ -0,0 +1,272 @@
+"""Starts a small deployment as separate processes on the loopback.
+
+Used by the demonstration, the bench and the tests; no part of the product.
+Processes are ended by their own pid, all of them at the end of the
+`async with` block.
+"""
+
+import asyncio
+import hashlib
+import json
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple, Self
+
+import json5
+
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    OutgoingRequest,
+    request_json,
+)
+
+OPERATOR_TOKEN = 'operator-token-of-the-stand-ins'
+_IP = '127.0.0.1'
+_READY_TRIES = 300
+_READY_INTERVAL_S = 0.05
+_STOP_TIMEOUT_S = 20
+_SPOKEN_TIMEOUT_S = 5
+
+
+class Place(NamedTuple):
+    """One backend server to start, with its node."""
+
+    service: str
+    region: str
+    availability_zone: str
+    slots: int = 9
+    service_ms: float = 5
+
+
+class Pair(NamedTuple):
+    """A backend server and the node beside it, as they run."""
+
+    place: Place
+    name: str
+    node: Address
+    backend_server: Address
+    settings_path: Path
+
+
+class Deployment:
+    """The processes of one deployment."""
+
+    def __init__(self) -> None:
+        """Start nothing yet."""
+        self.pairs: list[Pair] = []
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.pool = ConnectionPool()
+        self._folder = tempfile.TemporaryDirectory(prefix='carobmoor-')
+        self.folder = Path(self._folder.name)
+        self.platform = Address(_IP, free_port())
+
+    async def __aenter__(self) -> Self:
+        """Start the platform's stand-in."""
+        await self.spawn('platform', 'stand_ins.platform', self.platform)
+        await self.until(self._platform_answers, 'the platform answers')
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """End every process that still runs."""
+        self.pool.close()
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes.values():
+            await process.wait()
+        self._folder.cleanup()
+
+    async def start(
+        self,
+        places: Sequence[Place],
+        document: Mapping[str, Any],
+        extra_settings: Mapping[str, Any] | None = None,
+    ) -> None:
+        """Start pairs, publish a configuration and wait until all is ready."""
+        for place in places:
+            await self.add_pair(place, extra_settings or {})
+        for pair in self.pairs:
+            await self.until_status(pair, 'address', str(pair.node))
+        await self.publish(document, 0)
+        for pair in self.pairs:
+            await self.until_status(pair, 'is_ready', True)
+            await self.until_status(pair, 'members', len(self.pairs))
+
+    async def add_pair(
+        self,
+        place: Place,
+        extra_settings: Mapping[str, Any],
+    ) -> Pair:
+        """Start a backend server and its node."""
+        name = f'{place.service}-{len(self.pairs)}'
+        node = Address(_IP, free_port())
+        backend_server = Address(_IP, free_port())
+        path = self.folder / f'{name}.json'
+        pair = Pair(place, name, node, backend_server, path)
+        settings = {**self._settings_of(pair), **extra_settings}
+        path.write_text(json.dumps(settings))
+        self.pairs.append(pair)
+        await self.start_backend(pair)
+        await self.start_node(pair)
+        return pair
+
+    async def start_backend(self, pair: Pair) -> None:
+        """Start the backend server of a pair."""
+        await self.spawn(
+            f'backend {pair.name}',
+            'stand_ins.backend_server',
+            pair.backend_server,
+            f'--name={pair.name}',
+            f'--slots={pair.place.slots}',
+            f'--service_ms={pair.place.service_ms}',
+        )
+
+    async def start_node(self, pair: Pair) -> None:
+        """Start the node of a pair."""
+        log = (self.folder / f'{pair.name}.log').open('ab')
+        self.processes[
+            f'node {pair.name}'
+        ] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'carobmoor',
+            'node',
+            f'--settings={pair.settings_path}',
+            stderr=log,
+        )
+        log.close()
+
+    async def spawn(
+        self,
+        key: str,
+        module: str,
+        address: Address,
+        *arguments: str,
+    ) -> None:
+        """Start a stand-in."""
+        self.processes[key] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            f'--port={address.port}',
+            *arguments,
+        )
+
+    async def publish(self, document: Mapping[str, Any], base: int) -> Any:
+        """Put a configuration through the first node."""
+        body = json.dumps(
+            {
+                'base_version': base,
+                'reason': 'deployment',
+                'document': document,
+            },
+        )
+        return await self.ask(
+            self.pairs[0].node,
+            'PUT',
+            '/_carobmoor/configuration',
+            body.encode(),
+        )
+
+    async def ask(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes = b'',
+    ) -> Any:
+        """Send a control request and decode its answer; `None` if lost."""
+        headers = ((b'authorization', f'Bearer {OPERATOR_TOKEN}'.encode()),)
+        request = OutgoingRequest(method, target, headers, body)
+        asked = await request_json(
+            self.pool,
+            address,
+            request,
+            _SPOKEN_TIMEOUT_S,
+        )
+        if asked.is_err():
+            return None
+        return json.loads(asked.unwrap().body or b'null')
+
+    async def set_faults(self, address: Address, **faults: Any) -> Any:
+        """Make a stand-in misbehave."""
+        is_platform = address == self.platform
+        target = '/faults' if is_platform else '/_backend/faults'
+        return await self.ask(
+            address,
+            'POST',
+            target,
+            json.dumps(faults).encode(),
+        )
+
+    async def stop(self, key: str, signal_number: int) -> int:
+        """Signal a process and wait for its end; gives the exit code."""
+        process = self.processes[key]
+        process.send_signal(signal_number)
+        async with asyncio.timeout(_STOP_TIMEOUT_S):
+            return await process.wait()
+
+    async def kill(self, key: str) -> int:
+        """Kill a process at once."""
+        return await self.stop(key, signal.SIGKILL)
+
+    async def until_status(self, pair: Pair, field: str, wanted: Any) -> None:
+        """Wait until a node's status has a field as wanted."""
+
+        async def holds() -> bool:
+            status = await self.ask(pair.node, 'GET', '/_carobmoor/status')
+            return status is not None and status[field] == wanted
+
+        await self.until(holds, f'{pair.name}: {field} is {wanted}')
+
+    async def until(self, holds: Any, what: str) -> None:
+        """Wait for a condition; raises `TimeoutError` naming it."""
+        for _ in range(_READY_TRIES):
+            if await holds():
+                return
+            await asyncio.sleep(_READY_INTERVAL_S)
+        raise TimeoutError(f'not in time: {what}')
+
+    async def _platform_answers(self) -> bool:
+        return await self.ask(self.platform, 'GET', '/faults') is not None
+
+    def _settings_of(self, pair: Pair) -> Mapping[str, Any]:
+        platform = self.platform._asdict()
+        place = pair.place
+        return {
+            'listen': pair.node._asdict(),
+            'place': {
+                'region': place.region,
+                'availability_zone': place.availability_zone,
+            },
+            'service': place.service,
+            'backend_server': pair.backend_server._asdict(),
+            'platform': {'table_service': platform, 'object_store': platform},
+            'peers': [str(other.node) for other in self.pairs[:3]],
+            'operators': [
+                {
+                    'name': 'stand-in-operator',
+                    'token_sha256': hashlib.sha256(
+                        OPERATOR_TOKEN.encode(),
+                    ).hexdigest(),
+                },
+            ],
+        }
+
+
+def free_port() -> int:
+    """Find a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((_IP, 0))
+        return int(probe.getsockname()[1])
+
+
+def read_example(name: str) -> Any:
+    """Read an example document of the repository."""
+    folder = Path(__file__).parent.parent / 'examples'
+    return json5.loads((folder / f'{name}.json').read_text())
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole path, across processes."""
--- /dev/null
+++ b/tests/fixtures.py
@@ -0,0 +1,45 @@
+"""Fixtures shared by the tests across processes."""
+
+import asyncio
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from carobmoor import Client
+from stand_ins.deployment import Deployment, Place, read_example
+
+_DEADLOCK_TIMEOUT_S = 120
+
+
+def asynchronous(
+    test: Callable[..., Awaitable[None]],
+) -> Callable[..., None]:
+    """Run an asynchronous test function in a loop of its own."""
+
+    @functools.wraps(test)
+    def run(*arguments: Any) -> None:
+        asyncio.run(
+            asyncio.wait_for(test(*arguments), _DEADLOCK_TIMEOUT_S),
+        )
+
+    return run
+
+
+@asynccontextmanager
+async def running(
+    *places: Place,
+    **extra_settings: Any,
+) -> AsyncIterator[Deployment]:
+    """Run Adeyemi's document on the places given."""
+    async with Deployment() as deployment:
+        await deployment.start(places, read_example('adeyemi'), extra_settings)
+        yield deployment
+
+
+@asynccontextmanager
+async def client_of(deployment: Deployment) -> AsyncIterator[Client]:
+    """Connect a client to every node of a deployment."""
+    contacts = [str(pair.node) for pair in deployment.pairs]
+    async with Client(contacts, 'test-caller') as client:
+        yield client
--- /dev/null
+++ b/tests/test_bad_requests.py
@@ -0,0 +1,96 @@
+"""What is malformed is refused with a code, runs nothing, harms nothing."""
+
+import asyncio
+import json
+
+from nose2.tools import params
+
+from stand_ins.deployment import Deployment, Place
+from tests.fixtures import asynchronous, running
+
+PLACE = Place('payments', 'lagos', 'lagos-a')
+HEAD = b'POST /deposits HTTP/1.1\r\nhost: any\r\nconnection: close\r\n'
+SERVICE = b'x-carobmoor-service: payments\r\n'
+
+CASES = (
+    (b'no http at all\r\n\r\n', 400, 'bad_request'),
+    (HEAD + b'x: ' + b'y' * 70_000 + b'\r\n\r\n', 431, 'headers_too_large'),
+    (
+        HEAD + SERVICE + b'content-length: 70000\r\n\r\n' + bytes(70_000),
+        413,
+        'body_too_large',
+    ),
+    (HEAD + b'x-carobmoor-service: none\r\n\r\n', 404, 'unknown_service'),
+    (HEAD + b'\r\n', 404, 'unknown_service'),
+    (HEAD + SERVICE + b'x-carobmoor-rank: x\r\n\r\n', 400, 'unknown_rank'),
+    (
+        HEAD + SERVICE + b'x-carobmoor-deadline-ms: -1\r\n\r\n',
+        400,
+        'bad_request',
+    ),
+    (HEAD + SERVICE + b'x-carobmoor-depth: 900\r\n\r\n', 400, 'bad_request'),
+)
+
+
+@asynchronous
+async def test_bad_requests_are_refused():
+    """Each fault gets its status and code, and nothing runs."""
+    async with running(PLACE) as deployment:
+        for sent, status, code in CASES:
+            answer = await speak(deployment, sent)
+            assert answer.startswith(f'HTTP/1.1 {status}'.encode()), answer
+            body = json.loads(answer.partition(b'\r\n\r\n')[2])
+            assert body['code'] == code, body
+            assert body['outcome'] == 'not_run'
+        assert await started(deployment) == 0
+        answer = await speak(deployment, HEAD + SERVICE + b'\r\n')
+        assert answer.startswith(b'HTTP/1.1 200'), answer
+
+
+@asynchronous
+async def test_too_long_chunked_body_is_refused():
+    """A body without a declared length is bounded while it streams."""
+    chunk = b'4000\r\n' + bytes(0x4000) + b'\r\n'
+    head = HEAD + SERVICE + b'transfer-encoding: chunked\r\n\r\n'
+    async with running(PLACE) as deployment:
+        answer = await speak(deployment, head + chunk * 8 + b'0\r\n\r\n')
+    assert answer.startswith((b'HTTP/1.1 413', b'HTTP/1.1 502')), answer
+
+
+@params(b'', b'authorization: Bearer wrong\r\n')
+def test_operator_token_is_asked_for(header):
+    """Without a valid token the configuration doesn't change."""
+    asynchronous(_put_unauthorised)(header)
+
+
+async def _put_unauthorised(header: bytes) -> None:
+    async with running(PLACE) as deployment:
+        head = b'PUT /_carobmoor/configuration HTTP/1.1\r\nhost: any\r\n'
+        ending = b'connection: close\r\ncontent-length: 2\r\n\r\n{}'
+        answer = await speak(deployment, head + header + ending)
+        assert answer.startswith(b'HTTP/1.1 401'), answer
+        status = await deployment.ask(
+            deployment.pairs[0].node,
+            'GET',
+            '/_carobmoor/status',
+        )
+    assert status['configuration_version'] == 1
+
+
+async def speak(deployment: Deployment, sent: bytes) -> bytes:
+    """Send bytes to the first node and read until it closes."""
+    reader, writer = await asyncio.open_connection(*deployment.pairs[0].node)
+    writer.write(sent)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+async def started(deployment: Deployment) -> int:
+    """Count the requests that the first backend server started."""
+    told = await deployment.ask(
+        deployment.pairs[0].backend_server,
+        'GET',
+        '/_backend/starts',
+    )
+    return len(told['starts'])
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,143 @@
+"""A request's way through separate processes."""
+
+import asyncio
+import hashlib
+import json
+import signal
+
+from carobmoor import Call, Code, NotRun
+from carobmoor.transport import read_whole
+from stand_ins.deployment import Place
+from tests.fixtures import asynchronous, client_of, running
+
+BOOKINGS_A = Place('bookings', 'lagos', 'lagos-a')
+BOOKINGS_B = Place('bookings', 'lagos', 'lagos-b')
+MEDIA = Place('media', 'lagos', 'lagos-a')
+MEBIBYTE = 1_048_576
+
+
+@asynchronous
+async def test_answer_comes_back_whole():
+    """The answer is of this request, with the body that was sent."""
+    body = b'a drum kit for sunday'
+    async with (
+        running(BOOKINGS_A, BOOKINGS_B) as deployment,
+        client_of(deployment) as client,
+    ):
+        call = Call('bookings', 'POST', '/x', body, rank='booking')
+        called = await client.call(call)
+    answer = json.loads(called.unwrap().body)
+    assert answer['request_id'] == called.unwrap().request_id
+    assert answer['body_sha256'] == hashlib.sha256(body).hexdigest()
+
+
+@asynchronous
+async def test_plain_caller_may_use_any_node():
+    """A plain request to a node of another service is forwarded."""
+    async with running(BOOKINGS_A, MEDIA) as deployment:
+        reader, writer = await asyncio.open_connection(
+            *deployment.pairs[1].node
+        )
+        writer.write(
+            b'GET /plain HTTP/1.1\r\nhost: any\r\nconnection: close\r\n'
+            b'x-carobmoor-service: bookings\r\n'
+            b'x-carobmoor-rank: booking\r\n\r\n',
+        )
+        answer = await reader.read()
+        writer.close()
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert b'bookings-0' in answer
+
+
+@asynchronous
+async def test_large_bodies_stream_both_ways():
+    """A body larger than any buffer arrives whole, and so does its answer."""
+    chunk = bytes(65536)
+    count = 512
+
+    async def chunks():
+        for _ in range(count):
+            yield chunk
+
+    async with running(MEDIA) as deployment, client_of(deployment) as client:
+        call = Call(
+            'media',
+            'POST',
+            '/recordings',
+            more_body=chunks(),
+            timeout_ms=60_000,
+        )
+        uploaded = await client.call(call)
+        wanted = 40 * MEBIBYTE
+        headers = ((b'x-answer-bytes', str(wanted).encode()),)
+        call = Call('media', 'GET', '/r', headers=headers, timeout_ms=60_000)
+        streamed = await client.stream(call)
+        received = await read_whole(streamed.unwrap(), wanted)
+    answer = json.loads(uploaded.unwrap().body)
+    assert answer['body_bytes'] == count * len(chunk)
+    assert len(received) == wanted
+
+
+@asynchronous
+async def test_sigterm_cuts_nothing():
+    """Every call sent around a graceful stop is answered."""
+    slow = Place('bookings', 'lagos', 'lagos-a', service_ms=40)
+    async with (
+        running(slow, slow) as deployment,
+        client_of(deployment) as client,
+    ):
+        calls = [
+            asyncio.create_task(
+                client.call(Call('bookings', 'POST', '/x', b'x')),
+            )
+            for _ in range(40)
+        ]
+        await asyncio.sleep(0.02)
+        code = await deployment.stop('node bookings-0', signal.SIGTERM)
+        answers = await asyncio.gather(*calls)
+    assert code == 0
+    assert [answer for answer in answers if answer.is_err()] == []
+
+
+@asynchronous
+async def test_refusal_says_not_run_with_step_and_peer():
+    """A lapsed deadline is told with the code, the step and the peer."""
+    slow = Place('bookings', 'lagos', 'lagos-a', service_ms=400)
+    async with running(slow) as deployment, client_of(deployment) as client:
+        call = Call('bookings', 'POST', '/x', timeout_ms=60)
+        answers = await asyncio.gather(*(client.call(call) for _ in range(40)))
+        told = await deployment.ask(
+            deployment.pairs[0].backend_server,
+            'GET',
+            '/_backend/starts',
+        )
+    refused = [
+        answer.unwrap_err()
+        for answer in answers
+        if answer.is_err() and isinstance(answer.unwrap_err(), NotRun)
+    ]
+    assert refused
+    assert {failure.code for failure in refused} == {Code.DEADLINE_LAPSED}
+    assert {failure.step for failure in refused} == {'admission'}
+    assert len(told['starts']) <= len(answers) - len(refused)
+
+
+@asynchronous
+async def test_killed_backend_server_gives_unknown():
+    """A request lost with its backend server may have run."""
+    async with (
+        running(BOOKINGS_A) as deployment,
+        client_of(deployment) as client,
+    ):
+        headers = ((b'x-service-ms', b'10000'),)
+        call = Call(
+            'bookings', 'POST', '/x', headers=headers, timeout_ms=20_000
+        )
+        task = asyncio.create_task(client.call(call))
+        await asyncio.sleep(0.3)
+        await deployment.kill('backend bookings-0')
+        failure = (await task).unwrap_err()
+        peer = str(deployment.pairs[0].backend_server)
+    assert failure.code is Code.OUTCOME_UNKNOWN
+    assert failure.step == 'awaiting_answer'
+    assert failure.peer == peer
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository; no part of the product."""
