Test the command line; compare documents as they are checked

Ruled out: a change of the document on its way through the store.

Change: the document is checked before it is compared or put, and its faults are told as `carobmoor check` tells them, with exit code 2.

--- a/carobmoor/cli/_admin.py
+++ b/carobmoor/cli/_admin.py
@@ -10,9 +10,13 @@
 import msgspec
 from result import Err
 
-from carobmoor.cli._output import fail, print_json
+from carobmoor.cli._output import exit_with_faults, fail, print_json
 from carobmoor.client import Call, Client
-from carobmoor.configuration import read_commented
+from carobmoor.configuration import (
+    Document,
+    read_commented,
+    validate_document,
+)
 from carobmoor.transport import (
     ConnectionPool,
     JsonAnswer,
@@ -151,6 +155,7 @@
         )
     answer = called.ok_value
     sys.stdout.write(f'{answer.status} from {answer.owner}\n')
+    sys.stdout.flush()
     sys.stdout.buffer.write(b'%b\n' % answer.body)
 
 
@@ -193,15 +198,15 @@
     return ((b'authorization', f'Bearer {token}'.encode()),)
 
 
-def _read_document(path: str) -> Any:
+def _read_document(path: str) -> Document:
     try:
         text = Path(path).read_text(encoding='utf-8')
     except OSError as error:
         fail(f'{path}: {error.strerror}')
-    parsed = read_commented(text)
-    if isinstance(parsed, Err):
-        fail(f'{path}: {parsed.err_value[0]}')
-    return parsed.ok_value
+    checked = read_commented(text).and_then(validate_document)
+    if isinstance(checked, Err):
+        exit_with_faults(checked.err_value)
+    return checked.ok_value
 
 
 def _pretty(document: Any) -> list[str]:
--- a/carobmoor/cli/_main.py
+++ b/carobmoor/cli/_main.py
@@ -4,16 +4,14 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Final
 
 import fire
 import msgspec
 from result import Err
 
 from carobmoor.cli._admin import ConfigCommands, call, drain, status
-from carobmoor.cli._output import fail, print_json
+from carobmoor.cli._output import exit_with_faults, fail, print_json
 from carobmoor.configuration import (
-    Fault,
     document_schema,
     read_commented,
     validate_document,
@@ -25,8 +23,6 @@
     validate_settings,
 )
 
-_EXIT_FAULTY: Final = 2
-
 
 def node(settings: str) -> None:
     """Run a node beside its backend server until SIGTERM.
@@ -36,7 +32,7 @@
     """
     loaded = load_settings(settings)
     if isinstance(loaded, Err):
-        _exit_with(loaded.err_value)
+        exit_with_faults(loaded.err_value)
     else:
         asyncio.run(run_node(loaded.ok_value))
 
@@ -56,13 +52,13 @@
         fail(f'{path}: {error.strerror}')
     parsed = read_commented(text)
     if isinstance(parsed, Err):
-        _exit_with(parsed.err_value)
+        exit_with_faults(parsed.err_value)
     candidate = parsed.unwrap()
     is_settings = isinstance(candidate, dict) and 'listen' in candidate
     validate = validate_settings if is_settings else validate_document
     checked = validate(candidate)
     if isinstance(checked, Err):
-        _exit_with(checked.err_value)
+        exit_with_faults(checked.err_value)
     kind = 'settings' if is_settings else 'configuration'
     sys.stdout.write(f'{path}: valid {kind}\n')
 
@@ -102,9 +98,3 @@
 def _display(lines: Sequence[str], out: object) -> None:
     """Print help without a pager, so that it works in scripts."""
     sys.stdout.writelines(f'{line}\n' for line in lines)
-
-
-def _exit_with(faults: Sequence[Fault]) -> None:
-    for fault in faults:
-        sys.stderr.write(f'{fault}\n')
-    sys.exit(_EXIT_FAULTY)
--- a/carobmoor/cli/_output.py
+++ b/carobmoor/cli/_output.py
@@ -1,11 +1,15 @@
 """What commands print."""
 
 import sys
+from collections.abc import Sequence
 from typing import Final, NoReturn
 
 import msgspec
 
+from carobmoor.configuration import Fault
+
 _EXIT_FAILED: Final = 1
+_EXIT_FAULTY: Final = 2
 
 
 def print_json(document: bytes) -> None:
@@ -18,3 +22,10 @@
     """Print a message to standard error and exit."""
     sys.stderr.write(f'carobmoor: {message}\n')
     sys.exit(exit_code)
+
+
+def exit_with_faults(faults: Sequence[Fault]) -> NoReturn:
+    """Print every fault of a document to standard error and exit."""
+    for fault in faults:
+        sys.stderr.write(f'{fault}\n')
+    sys.exit(_EXIT_FAULTY)
--- /dev/null
+++ b/carobmoor/cli/tests/fixtures.py
@@ -0,0 +1,38 @@
+"""Fixtures of the command line's tests."""
+
+import contextlib
+import io
+import sys
+from pathlib import Path
+from typing import NamedTuple
+from unittest import mock
+
+from carobmoor.cli import main
+
+EXAMPLES = Path(__file__).parents[3] / 'examples'
+
+
+class Ended(NamedTuple):
+    """How a command ended and what it printed."""
+
+    code: int
+    out: str
+    err: str
+
+
+def run_command(*arguments: str) -> Ended:
+    """Run a command line in this process."""
+    out = io.TextIOWrapper(io.BytesIO(), write_through=True)
+    err = io.StringIO()
+    code = 0
+    with (
+        mock.patch.object(sys, 'argv', ['carobmoor', *arguments]),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
+        try:
+            main()
+        except SystemExit as ended:
+            code = int(ended.code or 0)
+    printed = out.buffer.getvalue().decode()
+    return Ended(code, printed, err.getvalue())
--- /dev/null
+++ b/carobmoor/cli/tests/test_check.py
@@ -0,0 +1,93 @@
+"""`carobmoor check` tells every fault and exits 2."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+from nose2.tools import params
+
+from carobmoor.cli import main
+from carobmoor.cli.tests.fixtures import EXAMPLES, run_command
+
+SETTINGS = json.loads(
+    run_command('schema', '--of=settings').out,
+)
+
+
+@params('node.json', 'adeyemi.json', 'bawaba.json')
+def test_examples_are_valid(name):
+    """The example documents pass."""
+    ended = run_command('check', str(EXAMPLES / name))
+    assert ended.code == 0
+    assert ended.out.startswith(f'{EXAMPLES / name}: valid ')
+
+
+FAULTY = (
+    ('{', '$: found no JSON'),
+    ('[]', '$: found []'),
+    ('{"ranks": [], "services": {}}', '$.ranks: found []'),
+    (
+        '{"ranks": [{"name": "a", "target_latency_ms": 0, "worth": 1,'
+        ' "guaranteed_share": 0.5}], "services": {}}',
+        '$.ranks[0].target_latency_ms: found 0; '
+        'Input should be greater than or equal to 1',
+    ),
+    (
+        '{"ranks": [{"name": "a", "target_latency_ms": 1, "worth": 1,'
+        ' "guaranteed_share": 0.6}, {"name": "b", "target_latency_ms": 1,'
+        ' "worth": 1, "guaranteed_share": 0.6}],'
+        ' "services": {"s": {"team": "t", "slots": 1}}}',
+        '$.ranks[*].guaranteed_share: found a sum of 1.2; '
+        'the sum may be 1 at most',
+    ),
+    ('{"unheard": 1}', '$.unheard: found 1'),
+    ('{"listen": {"ip": "node.example", "port": 0}}', '$.listen.port: found 0'),
+    ('{"listen": {}, "services": 1}', '$.services: found 1'),
+)
+
+
+@params(*FAULTY)
+def test_faults_are_told_with_their_path(text, line):
+    """A faulty document gets a line with path, found and allowed."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'document.json'
+        path.write_text(text)
+        ended = run_command('check', str(path))
+    assert ended.code == 2
+    assert any(told.startswith(line) for told in ended.err.splitlines()), (
+        ended.err
+    )
+
+
+@params(
+    ('check', 'no-such-file.json'),
+    ('node', '--settings=no-such-file.json'),
+    ('status', 'nonsense'),
+    ('status', '127.0.0.1:1'),
+    ('config', 'get', '127.0.0.1:1'),
+    ('call', 'bookings', '/x', '127.0.0.1:1'),
+    ('schema', '--of=nothing'),
+)
+def test_errors_of_users_have_no_traceback(*arguments):
+    """A user's error is a line on standard error and a failing exit code."""
+    ended = run_command(*arguments)
+    assert ended.code > 0
+    assert 'Traceback' not in ended.err
+    assert ended.err.strip()
+
+
+def test_schema_names_every_setting():
+    """The schema that the console reads refuses unknown keys."""
+    assert SETTINGS['additionalProperties'] is False
+    assert 'backend_server' in SETTINGS['required']
+
+
+def test_help_lists_the_commands():
+    """The help is readable without a pager."""
+    with contextlib.redirect_stdout(io.StringIO()) as out:
+        ended = run_command('--help')
+    told = out.getvalue() + ended.out + ended.err
+    assert 'Run a node beside its backend server' in told
+    assert main.__doc__
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,62 @@
+"""Operators' commands against a running node."""
+
+import asyncio
+import json
+import os
+from unittest import mock
+
+from carobmoor.cli.tests.fixtures import EXAMPLES, Ended, run_command
+from stand_ins.deployment import OPERATOR_TOKEN, Place
+from tests.fixtures import asynchronous, running
+
+PLACE = Place('bookings', 'lagos', 'lagos-a')
+DOCUMENT = str(EXAMPLES / 'adeyemi.json')
+OTHER_DOCUMENT = str(EXAMPLES / 'bawaba.json')
+
+
+@asynchronous
+async def test_operators_day():
+    """An operator reads, compares, changes and drains through one node."""
+    async with running(PLACE) as deployment:
+        node = str(deployment.pairs[0].node)
+        status = await command('status', node)
+        assert json.loads(status.out)['service'] == 'bookings'
+        same = await command('config', 'diff', DOCUMENT, node)
+        assert (same.code, same.out) == (0, ''), same
+        other = await command('config', 'diff', OTHER_DOCUMENT, node)
+        assert '+    "gate": {' in other.out.splitlines()
+        put = ('config', 'put', DOCUMENT, node, '--reason=again')
+        conflict = await command(*put, '--base=0')
+        assert conflict.code == 1
+        assert 'version 1 by stand-in-operator is current' in conflict.err
+        accepted = await command(*put, '--base=1')
+        assert json.loads(accepted.out)['version'] == 2
+        history = await command('config', 'history', node)
+        assert [head['reason'] for head in json.loads(history.out)] == [
+            'deployment',
+            'again',
+        ]
+        answered = await command('call', 'bookings', '/x', node)
+        assert answered.out.startswith('200 from ')
+        refused = await command('call', 'gate', '/x', node)
+        assert refused.code == 3
+        drained = await command('drain', node)
+        assert drained.code == 0
+        process = deployment.processes['node bookings-0']
+        assert await process.wait() == 0
+
+
+@asynchronous
+async def test_wrong_token_changes_nothing():
+    """Without the token a command says so and fails."""
+    async with running(PLACE) as deployment:
+        node = str(deployment.pairs[0].node)
+        refused = await command('drain', node, token='wrong')
+    assert refused.code == 1
+    assert 'no valid operator token' in refused.err
+
+
+async def command(*arguments: str, token: str = OPERATOR_TOKEN) -> Ended:
+    """Run a command beside the loop of the test."""
+    with mock.patch.dict(os.environ, {'CAROBMOOR_TOKEN': token}):
+        return await asyncio.to_thread(run_command, *arguments)
