Report the service-level burn of each rank of each service

Cause: an operator could not see which rank spends its error budget, how fast, and what eats it.

Change: every node counts good and bad answers a minute for six hours, with the cause of each bad one (queueing, backend server, refusal, link, straggler) and a latency histogram; `carobmoor report burn` adds up the nodes, prints burn rates over 5 and 30 minutes, 1 and 6 hours, and writes one self-contained HTML page. Counting and judging are apart from drawing, as the plotting library must never load in a node (test_nodes_never_load_the_plots).

Ruled out: a cause by the failure's code alone. In a trial at about twice the capacity, requests whose time went in the queue ran into the deadline at the backend server and were put down to it; the longer of the two times decides now.

--- /dev/null
+++ b/carobmoor/burn/_report.py
@@ -0,0 +1,117 @@
+"""Adding up what nodes saw, and judging it against the objectives."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from itertools import chain
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+from carobmoor.burn._messages import (
+    MinuteCount,
+    Objective,
+    RankBurn,
+    Snapshot,
+    WindowBurn,
+)
+
+# Two fast windows and two slow ones, in minutes.
+_WINDOWS_MIN: Final = (5, 30, 60, 360)
+_US_PER_MS: Final = 1000
+_HIGHEST_US: Final = 3_600_000_000
+_DIGITS: Final = 2
+_MEDIAN: Final = 50
+_TAIL: Final = 99
+
+
+def merge_snapshots(snapshots: Iterable[Snapshot]) -> Sequence[Snapshot]:
+    """Add up the snapshots of several nodes, by service and rank."""
+    grouped: defaultdict[Objective, list[Snapshot]] = defaultdict(list)
+    for snapshot in snapshots:
+        grouped[snapshot.objective].append(snapshot)
+    return [
+        Snapshot(objective, _add_minutes(group), _add_latencies(group))
+        for objective, group in sorted(grouped.items())
+    ]
+
+
+def judge(snapshot: Snapshot, now_min: int) -> RankBurn:
+    """Judge one rank of one service at a minute since the Unix epoch."""
+    objective = snapshot.objective
+    windows = [
+        _window_burn(snapshot, window_min, now_min)
+        for window_min in _WINDOWS_MIN
+    ]
+    latency = HdrHistogram.decode(snapshot.latency_us)
+    bad: Counter[str] = Counter()
+    for minute in _within(snapshot.minutes, _WINDOWS_MIN[-1], now_min):
+        bad.update(minute.bad)
+    return RankBurn(
+        objective,
+        windows,
+        1 - windows[-1].burn_rate,
+        bad,
+        latency.get_value_at_percentile(_MEDIAN) / _US_PER_MS,
+        latency.get_value_at_percentile(_TAIL) / _US_PER_MS,
+        [
+            (counted.minute, _burn_rate(objective, (counted,)))
+            for counted in snapshot.minutes
+        ],
+    )
+
+
+def _window_burn(
+    snapshot: Snapshot,
+    window_min: int,
+    now_min: int,
+) -> WindowBurn:
+    minutes = _within(snapshot.minutes, window_min, now_min)
+    return WindowBurn(
+        window_min,
+        sum(minute.good for minute in minutes),
+        sum(_bad_of(minute) for minute in minutes),
+        _burn_rate(snapshot.objective, minutes),
+    )
+
+
+def _burn_rate(
+    objective: Objective,
+    minutes: Sequence[MinuteCount],
+) -> float:
+    bad = sum(_bad_of(minute) for minute in minutes)
+    total = bad + sum(minute.good for minute in minutes)
+    if not total:
+        return 0
+    return bad / total / (1 - objective.objective)
+
+
+def _bad_of(minute: MinuteCount) -> int:
+    return sum(minute.bad.values())
+
+
+def _within(
+    minutes: Sequence[MinuteCount],
+    window_min: int,
+    now_min: int,
+) -> Sequence[MinuteCount]:
+    oldest = now_min - window_min
+    return [minute for minute in minutes if minute.minute > oldest]
+
+
+def _add_minutes(group: Sequence[Snapshot]) -> Sequence[MinuteCount]:
+    good: Counter[int] = Counter()
+    bad: defaultdict[int, Counter[str]] = defaultdict(Counter)
+    for counted in chain.from_iterable(one.minutes for one in group):
+        good[counted.minute] += counted.good
+        bad[counted.minute].update(counted.bad)
+    return [
+        MinuteCount(minute, good[minute], bad[minute])
+        for minute in sorted(good)
+    ]
+
+
+def _add_latencies(group: Sequence[Snapshot]) -> str:
+    total = HdrHistogram(1, _HIGHEST_US, _DIGITS)
+    for snapshot in group:
+        total.add(HdrHistogram.decode(snapshot.latency_us))
+    return str(total.encode().decode('ascii'))
--- /dev/null
+++ b/carobmoor/burn/tests/test_burn.py
@@ -0,0 +1,97 @@
+"""Burn rates, causes and the merging of nodes."""
+
+from nose2.tools import params
+
+from carobmoor.burn import (
+    BurnState,
+    Cause,
+    Objective,
+    Timing,
+    cause_of_failure,
+    cause_of_lateness,
+    judge,
+    merge_snapshots,
+    record,
+    take_snapshots,
+)
+from carobmoor.outcomes import Code, NotRun, Unknown
+
+GATE = Objective('gate', 'desk', 50, 0.99)
+NOW_MIN = 1000
+NOW_S = NOW_MIN * 60
+BACKEND = '10.0.0.1:80'
+
+
+def recorded(good: int, bad: int, ago_min: int = 0) -> BurnState:
+    """Record so many answers at one minute."""
+    state = BurnState()
+    for _ in range(good):
+        record(state, 'gate', 'desk', 0.01, None, NOW_S - ago_min * 60)
+    for _ in range(bad):
+        cause = Cause.QUEUEING
+        record(state, 'gate', 'desk', 0.2, cause, NOW_S - ago_min * 60)
+    return state
+
+
+@params(
+    (99, 1, 0, (1, 1, 1, 1)),
+    (90, 10, 0, (10, 10, 10, 10)),
+    (90, 10, 5, (0, 10, 10, 10)),
+    (90, 10, 31, (0, 0, 10, 10)),
+    (90, 10, 400, (0, 0, 0, 0)),
+    (10, 0, 0, (0, 0, 0, 0)),
+)
+def test_burn_rates(good, bad, ago_min, rates):
+    """A window counts the minutes that it covers."""
+    snapshots = take_snapshots(recorded(good, bad, ago_min), (GATE,))
+    burn = judge(snapshots[0], NOW_MIN)
+    got = tuple(round(window.burn_rate, 6) for window in burn.windows)
+    assert got == rates
+
+
+def test_nodes_add_up():
+    """Two nodes' counts and latencies are added up."""
+    snapshots = [
+        *take_snapshots(recorded(50, 0), (GATE,)),
+        *take_snapshots(recorded(40, 10), (GATE,)),
+    ]
+    merged = merge_snapshots(snapshots)
+    burn = judge(merged[0], NOW_MIN)
+    assert len(merged) == 1
+    assert burn.windows[0].good == 90
+    assert burn.bad_by_cause == {'queueing': 10}
+    assert 9 < burn.p50_ms < 11
+    assert 190 < burn.p99_ms < 210
+
+
+def test_memory_is_bounded():
+    """Only six hours of minutes are kept."""
+    state = BurnState()
+    for minute in range(1000):
+        record(state, 'gate', 'desk', 0.01, None, minute * 60)
+    assert len(take_snapshots(state, (GATE,))[0].minutes) == 360
+
+
+@params(
+    (Timing(1, 0.8, 0.1, 0.1), Cause.QUEUEING),
+    (Timing(1, 0, 0.9, 0.1), Cause.STRAGGLER),
+    (Timing(1, 0, 0.9, 0.5), Cause.BACKEND_SERVER),
+    (Timing(1, 0.1, 0.1, 0.1), Cause.LINK),
+)
+def test_cause_of_lateness(timing, cause):
+    """Lateness is put down to where most of the time went."""
+    assert cause_of_lateness(timing) is cause
+
+
+@params(
+    (NotRun(Code.BAD_REQUEST, 'read_request', ''), None),
+    (NotRun(Code.QUEUE_FULL, 'admission', 'a:1'), Cause.QUEUEING),
+    (NotRun(Code.LEAVING, 'admission', 'a:1'), Cause.REFUSAL),
+    (NotRun(Code.NOT_SENT, 'connect', 'a:1'), Cause.LINK),
+    (NotRun(Code.NOT_SENT, 'connect', BACKEND), Cause.BACKEND_SERVER),
+    (Unknown('awaiting_answer', BACKEND), Cause.BACKEND_SERVER),
+    (Unknown('awaiting_answer', 'a:1'), Cause.LINK),
+)
+def test_cause_of_failure(failure, cause):
+    """A failure is put down to the peer and the reason."""
+    assert cause_of_failure(failure, BACKEND) is cause
--- a/carobmoor/cli/_main.py
+++ b/carobmoor/cli/_main.py
@@ -11,6 +11,7 @@
 
 from carobmoor.cli._admin import ConfigCommands, call, drain, status
 from carobmoor.cli._output import exit_with_faults, fail, print_json
+from carobmoor.cli._report import ReportCommands
 from carobmoor.configuration import (
     document_schema,
     read_commented,
@@ -85,6 +86,7 @@
                 'check': check,
                 'schema': schema,
                 'config': ConfigCommands,
+                'report': ReportCommands,
                 'status': status,
                 'drain': drain,
                 'call': call,
--- a/carobmoor/configuration/__init__.py
+++ b/carobmoor/configuration/__init__.py
@@ -7,6 +7,7 @@
     ServiceDocument,
     admission_policy_of,
     document_schema,
+    objectives_of,
     validate_document,
 )
 from carobmoor.configuration._follow import ConfigurationState, follow
@@ -36,6 +37,7 @@
     'document_schema',
     'follow',
     'load_accepted',
+    'objectives_of',
     'publish',
     'read_commented',
     'read_head',
--- a/carobmoor/configuration/_document.py
+++ b/carobmoor/configuration/_document.py
@@ -12,10 +12,12 @@
 from typing_extensions import TypedDict
 
 from carobmoor.admission import AdmissionPolicy, RankPolicy
+from carobmoor.burn import Objective
 from carobmoor.configuration._check import Fault, check_document
 
 _STRICT: Final = ConfigDict(extra='forbid', strict=True)
 _DEFAULT_QUEUE_LIMIT: Final = 1000
+_DEFAULT_OBJECTIVE: Final = 0.99
 
 Name = Annotated[
     str,
@@ -99,6 +101,20 @@
     return AdmissionPolicy(declared['slots'], queue_limit, ranks)
 
 
+def objectives_of(document: Document) -> Sequence[Objective]:
+    """Give the objective of every rank of every service."""
+    return [
+        Objective(
+            service,
+            rank['name'],
+            rank['target_latency_ms'],
+            rank.get('objective', _DEFAULT_OBJECTIVE),
+        )
+        for service in document['services']
+        for rank in document['ranks']
+    ]
+
+
 def _faults_across(document: Document) -> Sequence[Fault]:
     faults: list[Fault] = []
     names = [rank['name'] for rank in document['ranks']]
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -9,6 +9,7 @@
 from blacksheep import Application, Content, Request, Response
 from result import Err
 
+from carobmoor.burn import take_snapshots
 from carobmoor.configuration import (
     Conflict,
     Fault,
@@ -86,6 +87,10 @@
         content = Content(b'text/plain; version=0.0.4', node.metrics.render())
         return Response(_OK, content=content)
 
+    async def burn() -> Response:
+        return _json(_OK, take_snapshots(node.burn, node.objectives))
+
+    app.router.add_get(f'{_PREFIX}/burn', burn)
     app.router.add_get(f'{_PREFIX}/status', status)
     app.router.add_get(f'{_PREFIX}/members', members)
     app.router.add_post(f'{_PREFIX}/gossip', gossip)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -13,8 +13,10 @@
     failure_of,
 )
 from carobmoor.configuration import ServiceDocument
-from carobmoor.node._body import BodyFault, IncomingBody, Receive
+from carobmoor.node._account import account
+from carobmoor.node._body import BodyFault, Receive
 from carobmoor.node._context import RequestContext, read_context
+from carobmoor.node._exchange import Exchange
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
@@ -23,61 +25,16 @@
     Answer,
     HeaderList,
     OutgoingRequest,
-    ProgressFloor,
 )
 from carobmoor.transport import (
     send as send_request,
 )
 
 _MS_PER_S: Final = 1000
-_DEFAULT_DEADLINE_MS: Final = 10_000
-_DEFAULT_MOST_BODY_BYTES: Final = 1_073_741_824
-_DEFAULT_PROGRESS_MS: Final = 10_000
-_DEFAULT_PROGRESS_BYTES: Final = 1
 
 Application = Callable[[Any, Receive, Send], Awaitable[None]]
 
 
-class Exchange:
-    """One request on its way through the node."""
-
-    def __init__(
-        self,
-        context: RequestContext,
-        declared: ServiceDocument,
-        scope: Any,
-        receive: Receive,
-        send: Send,
-    ) -> None:
-        """Bind the request to its limits and to its caller."""
-        self.context = context
-        self.headers: HeaderList = scope['headers']
-        self.caller = context.caller or scope['client'][0]
-        self.send = send
-        self.started_s = time.monotonic()
-        deadline_ms = context.deadline_ms or declared.get(
-            'default_deadline_ms',
-            _DEFAULT_DEADLINE_MS,
-        )
-        self.deadline_s = self.started_s + deadline_ms / _MS_PER_S
-        self.floor = _floor_of(declared)
-        self.most_body_bytes = declared.get(
-            'most_body_bytes',
-            _DEFAULT_MOST_BODY_BYTES,
-        )
-        self.body = IncomingBody(
-            receive,
-            self.floor,
-            self.most_body_bytes,
-            is_absent=not context.body_bytes,
-        )
-
-    @property
-    def left_s(self) -> float:
-        """The time left before the deadline."""
-        return self.deadline_s - time.monotonic()
-
-
 def make_data_plane(node: NodeState) -> Application:
     """Make the ASGI application that serves callers' requests."""
 
@@ -93,8 +50,7 @@
             return
         exchange = Exchange(context, declared.ok_value, scope, receive, send)
         failure = await _serve(node, exchange)
-        outcome = 'answered' if failure is None else failure.code.value
-        node.count(context.service, context.rank, outcome, exchange.started_s)
+        account(node, exchange, failure)
         if failure is not None:
             if not exchange.body.is_whole:
                 await exchange.body.discard()
@@ -130,10 +86,12 @@
     if isinstance(entered, Err):
         return NotRun(entered.err_value, 'admission', node.here)
     started_s = time.monotonic()
+    exchange.queued_s = started_s - exchange.started_s
     try:
         return await _run(node, exchange)
     finally:
-        node.gate.leave(arrival.rank, time.monotonic() - started_s)
+        exchange.served_s = time.monotonic() - started_s
+        node.gate.leave(arrival.rank, exchange.served_s)
 
 
 async def _run(node: NodeState, exchange: Exchange) -> Failure | None:
@@ -210,12 +168,6 @@
     return failure
 
 
-def _floor_of(declared: ServiceDocument) -> ProgressFloor:
-    interval_ms = declared.get('progress_interval_ms', _DEFAULT_PROGRESS_MS)
-    least_bytes = declared.get('progress_least_bytes', _DEFAULT_PROGRESS_BYTES)
-    return ProgressFloor(interval_ms / _MS_PER_S, least_bytes)
-
-
 def _own_headers(node: NodeState) -> HeaderList:
     headers = [(REPORT_HEADER, encode_report(node.report()))]
     if node.gate.is_leaving:
--- /dev/null
+++ b/carobmoor/node/_exchange.py
@@ -0,0 +1,64 @@
+"""One request on its way through a node, with its limits and timings."""
+
+import time
+from typing import Any, Final
+
+from carobmoor.configuration import ServiceDocument
+from carobmoor.node._body import IncomingBody, Receive
+from carobmoor.node._context import RequestContext
+from carobmoor.node._relay import Send
+from carobmoor.transport import HeaderList, ProgressFloor
+
+_MS_PER_S: Final = 1000
+_DEFAULT_DEADLINE_MS: Final = 10_000
+_DEFAULT_MOST_BODY_BYTES: Final = 1_073_741_824
+_DEFAULT_PROGRESS_MS: Final = 10_000
+_DEFAULT_PROGRESS_BYTES: Final = 1
+
+
+class Exchange:
+    """One request on its way through the node."""
+
+    def __init__(
+        self,
+        context: RequestContext,
+        declared: ServiceDocument,
+        scope: Any,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Bind the request to its limits and to its caller."""
+        self.context = context
+        self.headers: HeaderList = scope['headers']
+        self.caller = context.caller or scope['client'][0]
+        self.send = send
+        self.started_s = time.monotonic()
+        deadline_ms = context.deadline_ms or declared.get(
+            'default_deadline_ms',
+            _DEFAULT_DEADLINE_MS,
+        )
+        self.deadline_s = self.started_s + deadline_ms / _MS_PER_S
+        self.queued_s = float(0)
+        self.served_s = float(0)
+        self.floor = _floor_of(declared)
+        self.most_body_bytes = declared.get(
+            'most_body_bytes',
+            _DEFAULT_MOST_BODY_BYTES,
+        )
+        self.body = IncomingBody(
+            receive,
+            self.floor,
+            self.most_body_bytes,
+            is_absent=not context.body_bytes,
+        )
+
+    @property
+    def left_s(self) -> float:
+        """The time left before the deadline."""
+        return self.deadline_s - time.monotonic()
+
+
+def _floor_of(declared: ServiceDocument) -> ProgressFloor:
+    interval_ms = declared.get('progress_interval_ms', _DEFAULT_PROGRESS_MS)
+    least_bytes = declared.get('progress_least_bytes', _DEFAULT_PROGRESS_BYTES)
+    return ProgressFloor(interval_ms / _MS_PER_S, least_bytes)
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -1,14 +1,17 @@
 """The state of a node that its parts share."""
 
 import time
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from carobmoor.admission import AdmissionPolicy, Gate
+from carobmoor.burn import BurnState, Objective
 from carobmoor.client import Dispatcher
 from carobmoor.configuration import (
     Accepted,
     ConfigurationState,
     admission_policy_of,
+    objectives_of,
 )
 from carobmoor.membership import Gossip
 from carobmoor.node._settings import Settings
@@ -18,6 +21,7 @@
 from carobmoor.transport import Address, ConnectionPool
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
+_MS_PER_S: Final = 1000
 _US_PER_S: Final = 1_000_000
 
 
@@ -42,10 +46,13 @@
         self.dispatcher = dispatcher
         self.gossip = gossip
         self.metrics = NodeMetrics()
+        self.burn = BurnState()
+        self.objectives: Sequence[Objective] = ()
         self.gate = Gate(_NO_POLICY)
         self.configuration = ConfigurationState(self._put_in_force)
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
+        self.target_s_by_rank: Mapping[str, float] = {}
 
     def report(self) -> LoadReport:
         """Tell the load of the backend server as it is now."""
@@ -66,7 +73,6 @@
         started_s: float,
     ) -> None:
         """Count a request that ended here."""
-        rank = rank or self.default_rank
         took_s = time.monotonic() - started_s
         self.metrics.count_request(service, rank, outcome, took_s)
 
@@ -75,6 +81,11 @@
         names = [rank['name'] for rank in document['ranks']]
         self.rank_names = frozenset(names)
         self.default_rank = names[-1]
+        self.objectives = objectives_of(document)
+        self.target_s_by_rank = {
+            rank['name']: rank['target_latency_ms'] / _MS_PER_S
+            for rank in document['ranks']
+        }
         self.metrics.configuration_version.set(accepted.head.version)
         if self.service in document['services']:
             policy = admission_policy_of(document, self.service)
--- /dev/null
+++ b/carobmoor/reports/_page.py
@@ -0,0 +1,128 @@
+"""The burn report as one self-contained HTML page with plots."""
+
+import html
+import io
+import time
+from collections.abc import Sequence
+from typing import Final
+
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from carobmoor.burn import Cause, RankBurn
+from carobmoor.reports._table import main_causes
+
+_S_PER_MIN: Final = 60
+_WIDTH_INCH: Final = 9
+_HEIGHT_INCH: Final = 3.2
+_COLOURS: Final = ('#2f6f9f', '#c1512f', '#8a6d3b', '#6b4f9e', '#3f7d4f')
+_ALARM_RATE: Final = 1
+_STYLE: Final = """
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto;
+  max-width: 62rem; padding: 0 1rem; color: #1d2429; background: #fff; }
+h1 { font-size: 1.6rem; margin-bottom: 0; }
+h2 { font-size: 1.15rem; margin-top: 2.2rem; }
+p.note { color: #55626b; margin-top: .2rem; }
+table { border-collapse: collapse; width: 100%; font-size: .92rem; }
+th, td { padding: .35rem .6rem; text-align: right;
+  border-bottom: 1px solid #dde3e7; font-variant-numeric: tabular-nums; }
+th { color: #55626b; font-weight: 600; }
+th.name, td.name { text-align: left; }
+td.hot { color: #a1301a; font-weight: 700; }
+svg { max-width: 100%; height: auto; }
+"""
+
+
+def render_page(burns: Sequence[RankBurn], now_s: float, source: str) -> str:
+    """Write the page; `now_s` is Unix time, `source` names the nodes."""
+    taken = time.strftime('%Y-%m-%d %H:%M UTC', time.gmtime(now_s))
+    return '\n'.join(
+        (
+            '<!doctype html><html lang="en"><head><meta charset="utf-8">',
+            '<meta name="viewport" content="width=device-width">',
+            f'<title>Service-level burn</title><style>{_STYLE}</style>',
+            '</head><body><h1>Service-level burn</h1>',
+            f'<p class="note">{taken}, from {html.escape(source)}</p>',
+            _table(burns),
+            '<h2>Burn rate by minute</h2>',
+            '<p class="note">At 1 the budget is spent just as fast as the '
+            'objective allows.</p>',
+            _plot(burns, _draw_rates),
+            '<h2>What ate the budget</h2>',
+            _plot(burns, _draw_causes),
+            '</body></html>',
+        ),
+    )
+
+
+def _table(burns: Sequence[RankBurn]) -> str:
+    heads = ('target', 'p50', 'p99', '5 min', '30 min', '1 h', '6 h', 'left')
+    head = ''.join(f'<th>{name}</th>' for name in heads)
+    rows = ''.join(_row(burn) for burn in burns)
+    return (
+        '<table><tr><th class="name">service</th><th class="name">rank</th>'
+        f'{head}<th class="name">causes</th></tr>{rows}</table>'
+    )
+
+
+def _row(burn: RankBurn) -> str:
+    objective = burn.objective
+    rates = ''.join(_rate_cell(window.burn_rate) for window in burn.windows)
+    return (
+        f'<tr><td class="name">{html.escape(objective.service)}</td>'
+        f'<td class="name">{html.escape(objective.rank)}</td>'
+        f'<td>{objective.target_latency_ms} ms</td>'
+        f'<td>{burn.p50_ms:.1f} ms</td><td>{burn.p99_ms:.1f} ms</td>'
+        f'{rates}<td>{burn.budget_left:.0%}</td>'
+        f'<td class="name">{html.escape(main_causes(burn))}</td></tr>'
+    )
+
+
+def _rate_cell(burn_rate: float) -> str:
+    hot = ' class="hot"' if burn_rate > _ALARM_RATE else ''
+    return f'<td{hot}>{burn_rate:.1f}</td>'
+
+
+def _plot(burns: Sequence[RankBurn], draw: object) -> str:
+    figure = Figure(figsize=(_WIDTH_INCH, _HEIGHT_INCH), layout='constrained')
+    axes = figure.subplots()
+    axes.spines[['top', 'right']].set_visible(False)
+    if callable(draw):
+        draw(axes, burns)
+    image = io.StringIO()
+    figure.savefig(image, format='svg')
+    return image.getvalue().partition('<svg')[2].join(('<svg', ''))
+
+
+def _draw_rates(axes: Axes, burns: Sequence[RankBurn]) -> None:
+    newest = max(
+        (minute for burn in burns for minute, _ in burn.rate_by_minute),
+        default=0,
+    )
+    for burn in burns:
+        ago_min = [minute - newest for minute, _ in burn.rate_by_minute]
+        rates = [rate for _, rate in burn.rate_by_minute]
+        axes.plot(ago_min, rates, marker='.', label=_name(burn))
+    axes.axhline(_ALARM_RATE, color='#888', linewidth=1, linestyle='--')
+    axes.set_xlabel('minutes before the newest')
+    axes.set_ylabel('burn rate')
+    axes.set_ylim(bottom=0)
+    if burns:
+        axes.legend(frameon=False, fontsize='small', ncols=2)
+
+
+def _draw_causes(axes: Axes, burns: Sequence[RankBurn]) -> None:
+    names = [_name(burn) for burn in burns]
+    left = [0 for _ in burns]
+    for cause, colour in zip(Cause, _COLOURS, strict=True):
+        counts = [burn.bad_by_cause.get(cause.value, 0) for burn in burns]
+        label = cause.value.replace('_', ' ')
+        axes.barh(names, counts, left=left, label=label, color=colour)
+        left = [sum(pair) for pair in zip(left, counts, strict=True)]
+    axes.set_xlabel('bad answers in six hours')
+    axes.invert_yaxis()
+    axes.legend(frameon=False, fontsize='small')
+
+
+def _name(burn: RankBurn) -> str:
+    return f'{burn.objective.service} / {burn.objective.rank}'
--- /dev/null
+++ b/carobmoor/reports/tests/test_reports.py
@@ -0,0 +1,44 @@
+"""The burn report as a table and as a page."""
+
+import re
+import subprocess
+import sys
+
+from carobmoor.burn import (
+    BurnState,
+    Cause,
+    Objective,
+    judge,
+    record,
+    take_snapshots,
+)
+from carobmoor.reports import render_page, render_table
+
+GATE = Objective('gate', 'desk', 50, 0.99)
+NOW_S = 60_000
+
+
+def test_report_reads():
+    """Table and page name the cause, and the page stands alone."""
+    state = BurnState()
+    for number in range(100):
+        cause = Cause.QUEUEING if number < 10 else None
+        record(state, 'gate', 'desk', 0.01, cause, NOW_S)
+    snapshot = take_snapshots(state, (GATE,))[0]
+    burns = [judge(snapshot, NOW_S // 60)]
+    page = render_page(burns, NOW_S, 'a <node>')
+    assert 'queueing 100%' in render_table(burns)
+    assert 'a &lt;node&gt;' in page
+    assert page.count('<svg') == 2
+    assert not re.search('(src|href)="(?!#)|@import|<script|<link', page)
+
+
+def test_nodes_never_load_the_plots():
+    """The plotting library would cost every node memory."""
+    code = 'import carobmoor.cli, sys; print("matplotlib" in sys.modules)'
+    ran = subprocess.run(
+        (sys.executable, '-c', code),
+        capture_output=True,
+        check=True,
+    )
+    assert ran.stdout == b'False\n'
--- a/carobmoor/transport/tests/test_reuse.py
+++ b/carobmoor/transport/tests/test_reuse.py
@@ -33,7 +33,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         opened.append(writer)
-        gone = (asyncio.IncompleteReadError, ConnectionError)
+        gone = (EOFError, ConnectionError, asyncio.CancelledError)
         with contextlib.suppress(*gone):
             while await reader.readuntil(b'\r\n\r\n'):
                 writer.write(answer)
