Encrypt every listener and connection by settings, reload without a cut

Cause: requests, operators' tokens and news between nodes went in the clear.

Change: a `tls` section in the settings names certificate, key and authority; the listener and calls to nodes are then encrypted, those to the backend server and the platform where the settings say so. Peers must show a certificate of the authority that names their IP number. Replaced files are taken up within seconds by the contexts in use; open connections go on. Commands take their files from the environment.

Ruled out: loading replaced files into the contexts in use at once; a failed load leaves a context with a certificate and no key, so they are tried on a context of their own first.

Not encrypted yet: nothing else carries requests. Cost a call: not measured.

--- a/carobmoor/cli/_admin.py
+++ b/carobmoor/cli/_admin.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import difflib
-import os
 import sys
 from pathlib import Path
 from typing import Any, Final
@@ -10,6 +9,7 @@
 import msgspec
 from result import Err
 
+from carobmoor.cli._environment import tls_of_environment, token_headers
 from carobmoor.cli._output import exit_with_faults, fail, print_json
 from carobmoor.client import Call, Client
 from carobmoor.configuration import (
@@ -25,7 +25,6 @@
     request_json,
 )
 
-_TOKEN_VARIABLE: Final = 'CAROBMOOR_TOKEN'
 _TIMEOUT_S: Final = 10
 _FIRST_FAILED_STATUS: Final = 400
 _CONFIGURATION: Final = '/_carobmoor/configuration'
@@ -142,7 +141,8 @@
 
 
 async def _call(wanted: Call, node: str) -> None:
-    async with Client((node,), caller='command-line') as client:
+    client = Client((node,), 'command-line', tls=tls_of_environment())
+    async with client:
         called = await client.call(wanted)
     if isinstance(called, Err):
         failure = called.err_value
@@ -178,8 +178,8 @@
         address = parse_address(node)
     except ValueError:
         fail(f'{node} is no address; give it as IP:PORT')
-    request = OutgoingRequest(method, target, _headers(), body)
-    pool = ConnectionPool()
+    request = OutgoingRequest(method, target, token_headers(), body)
+    pool = ConnectionPool(tls_of_environment())
     called = await request_json(pool, address, request, _TIMEOUT_S)
     pool.close()
     if isinstance(called, Err):
@@ -191,13 +191,6 @@
     return answer
 
 
-def _headers() -> tuple[tuple[bytes, bytes], ...]:
-    token = os.environ.get(_TOKEN_VARIABLE, '')
-    if not token:
-        return ()
-    return ((b'authorization', f'Bearer {token}'.encode()),)
-
-
 def _read_document(path: str) -> Document:
     try:
         text = Path(path).read_text(encoding='utf-8')
--- a/carobmoor/cli/_report.py
+++ b/carobmoor/cli/_report.py
@@ -17,6 +17,7 @@
     judge,
     merge_snapshots,
 )
+from carobmoor.cli._environment import tls_of_environment
 from carobmoor.cli._output import fail
 from carobmoor.membership import Standing, decode_members
 from carobmoor.transport import (
@@ -92,7 +93,7 @@
         first = parse_address(node)
     except ValueError:
         fail(f'{node} is no address; give it as IP:PORT')
-    pool = ConnectionPool()
+    pool = ConnectionPool(tls_of_environment())
     addresses = await _nodes_known_to(pool, first)
     asked = await asyncio.gather(
         *(_snapshots_of(pool, address) for address in addresses),
--- a/carobmoor/client/_client.py
+++ b/carobmoor/client/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import ssl
 from collections import defaultdict
 from collections.abc import Sequence
 from typing import Final, Self
@@ -47,11 +48,16 @@
         caller: str,
         region: str = '',
         availability_zone: str = '',
+        tls: ssl.SSLContext | None = None,
     ) -> None:
-        """Make a client for one caller; nothing is sent before `start`."""
+        """Make a client for one caller; nothing is sent before `start`.
+
+        With `tls`, as `carobmoor.tls.caller_context` makes it, every
+        connection is encrypted.
+        """
         self._contacts = [parse_address(contact) for contact in contacts]
         self._caller = caller
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(tls)
         self._rng = random.Random()
         self.dispatcher = Dispatcher(
             RoutingState(region, availability_zone),
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -20,13 +20,15 @@
 )
 from carobmoor.node._control import make_control_plane
 from carobmoor.node._data_plane import make_data_plane
+from carobmoor.node._pools import make_pools
 from carobmoor.node._server import make_server
 from carobmoor.node._settings import Settings
 from carobmoor.node._state import NodeState
 from carobmoor.platform import Platform
 from carobmoor.routing import RoutingState
 from carobmoor.telemetry import configure_logs, logger_for
-from carobmoor.transport import Address, ConnectionPool, parse_address
+from carobmoor.tls import watch as watch_certificate
+from carobmoor.transport import Address, parse_address
 
 _CONTROL_PREFIX: Final = '/_carobmoor/'
 _DEFAULT_LINGER_MS: Final = 2000
@@ -44,9 +46,9 @@
     leaving = asyncio.Event()
     server = make_server(
         _make_application(node, leaving),
-        settings['listen']['ip'],
-        settings['listen']['port'],
+        Address(**settings['listen']),
         settings.get('most_header_bytes', _DEFAULT_MOST_HEADER_BYTES),
+        node.pools.listener,
     )
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -64,6 +66,9 @@
         asyncio.create_task(node.gossip.run()),
         asyncio.create_task(node.gate.watch()),
     ]
+    if node.pools.certificate is not None:
+        watched = watch_certificate(node.pools.certificate)
+        background.append(asyncio.create_task(watched))
     serving = asyncio.create_task(server.serve())
     leaver = asyncio.create_task(_leave(node, leaving))
     await asyncio.wait(
@@ -75,7 +80,7 @@
     for task in (*background, leaver):
         task.cancel()
     await asyncio.gather(*background, leaver, return_exceptions=True)
-    node.pool.close()
+    node.pools.close()
 
 
 async def _leave(node: NodeState, leaving: asyncio.Event) -> None:
@@ -103,18 +108,18 @@
 
 
 def _assemble(settings: Settings) -> NodeState:
-    pool = ConnectionPool()
+    pools = make_pools(settings)
     place = settings['place']
     platform = Platform(
-        pool,
+        pools.platform,
         Address(**settings['platform']['table_service']),
         Address(**settings['platform']['object_store']),
     )
     routing = RoutingState(place['region'], place['availability_zone'])
     rng = random.Random()
-    gossip = Gossip(_membership_of(settings, routing), pool, rng)
-    dispatcher = Dispatcher(routing, pool, rng)
-    return NodeState(settings, pool, platform, dispatcher, gossip)
+    gossip = Gossip(_membership_of(settings, routing), pools.nodes, rng)
+    dispatcher = Dispatcher(routing, pools.nodes, rng)
+    return NodeState(settings, pools, platform, dispatcher, gossip)
 
 
 def _membership_of(
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -104,7 +104,7 @@
         exchange.body.rest,
     )
     sent = await send_request(
-        node.pool,
+        node.pools.backend_server,
         node.backend_server,
         request,
         exchange.left_s,
--- /dev/null
+++ b/carobmoor/node/_pools.py
@@ -0,0 +1,51 @@
+"""The connections of a node, encrypted as its settings say."""
+
+import ssl
+from typing import NamedTuple
+
+from carobmoor.node._settings import Settings
+from carobmoor.tls import (
+    CertificateFiles,
+    CertificateState,
+    caller_context,
+    listener_context,
+)
+from carobmoor.transport import ConnectionPool
+
+
+class Pools(NamedTuple):
+    """One pool for each kind of peer, and what the listener shows."""
+
+    nodes: ConnectionPool
+    backend_server: ConnectionPool
+    platform: ConnectionPool
+    listener: ssl.SSLContext | None
+    certificate: CertificateState | None
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        self.nodes.close()
+        self.backend_server.close()
+        self.platform.close()
+
+
+def make_pools(settings: Settings) -> Pools:
+    """Make the pools; raises `OSError` when a certificate can't be used."""
+    tls = settings.get('tls')
+    if tls is None:
+        pools = (ConnectionPool(), ConnectionPool(), ConnectionPool())
+        return Pools(*pools, listener=None, certificate=None)
+    files = CertificateFiles(
+        tls['certificate_path'],
+        tls['private_key_path'],
+        tls['authority_path'],
+    )
+    listener = listener_context(files)
+    caller = caller_context(files)
+    return Pools(
+        ConnectionPool(caller),
+        ConnectionPool(caller if tls.get('backend_server') else None),
+        ConnectionPool(caller if tls.get('platform') else None),
+        listener,
+        CertificateState(files, (listener, caller)),
+    )
--- a/carobmoor/node/_server.py
+++ b/carobmoor/node/_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import logging
+import ssl
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
     encode_failure,
     http_status_of,
 )
+from carobmoor.transport import Address
 
 _KEEP_ALIVE_S: Final = 75
 _LINGER_S: Final = 1
@@ -83,8 +85,13 @@
         self.loop.call_later(_LINGER_S, self.transport.abort)
 
 
-def make_server(app: Any, ip: str, port: int, most_header_bytes: int) -> Any:
-    """Make a server for an ASGI application.
+def make_server(
+    app: Any,
+    address: Address,
+    most_header_bytes: int,
+    tls: ssl.SSLContext | None,
+) -> Any:
+    """Make a server for an ASGI application; `tls` encrypts its listener.
 
     Requests that are no HTTP are answered 400 and requests with more header
     bytes than allowed 431, both as JSON, and neither reaches the application.
@@ -92,8 +99,8 @@
     logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
     config = uvicorn.Config(
         app,
-        host=ip,
-        port=port,
+        host=address.ip,
+        port=address.port,
         loop='asyncio',
         http=functools.partial(  # type: ignore[arg-type]
             BoundedProtocol,
@@ -108,6 +115,8 @@
         date_header=False,
         timeout_keep_alive=_KEEP_ALIVE_S,
     )
+    config.load()
+    config.ssl = tls
     return NodeServer(config)
 
 
--- a/carobmoor/node/_settings.py
+++ b/carobmoor/node/_settings.py
@@ -51,6 +51,18 @@
     token_sha256: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
 
 
+@with_config(_STRICT)
+class TlsSettings(TypedDict):
+    """PEM files; with them the listener and calls to nodes are encrypted."""
+
+    certificate_path: str
+    private_key_path: str
+    authority_path: str
+    # Whether the backend server and the platform are called with TLS too.
+    backend_server: NotRequired[bool]
+    platform: NotRequired[bool]
+
+
 @with_config(_STRICT)
 class Settings(TypedDict):
     """Everything that a node is told at its start."""
@@ -63,6 +75,7 @@
     # Nodes to meet when the table service can't name any.
     peers: NotRequired[Sequence[Peer]]
     operators: NotRequired[Sequence[OperatorSettings]]
+    tls: NotRequired[TlsSettings]
     log_level: NotRequired[LogLevel]
     # How long a leaving node keeps refusing before it stops.
     leave_linger_ms: NotRequired[Annotated[int, Field(ge=0, le=600_000)]]
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -14,11 +14,12 @@
     objectives_of,
 )
 from carobmoor.membership import Gossip
+from carobmoor.node._pools import Pools
 from carobmoor.node._settings import Settings
 from carobmoor.platform import Platform
 from carobmoor.routing import LoadReport
 from carobmoor.telemetry import NodeMetrics
-from carobmoor.transport import Address, ConnectionPool
+from carobmoor.transport import Address
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
 _MS_PER_S: Final = 1000
@@ -31,7 +32,7 @@
     def __init__(
         self,
         settings: Settings,
-        pool: ConnectionPool,
+        pools: Pools,
         platform: Platform,
         dispatcher: Dispatcher,
         gossip: Gossip,
@@ -41,7 +42,7 @@
         self.service = settings['service']
         self.here = str(Address(**settings['listen']))
         self.backend_server = Address(**settings['backend_server'])
-        self.pool = pool
+        self.pools = pools
         self.platform = platform
         self.dispatcher = dispatcher
         self.gossip = gossip
--- a/carobmoor/reports/_page.py
+++ b/carobmoor/reports/_page.py
@@ -8,6 +8,7 @@
 
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
+from matplotlib.ticker import MaxNLocator
 
 from carobmoor.burn import Cause, RankBurn
 from carobmoor.reports._table import main_causes
@@ -25,7 +26,8 @@
 p.note { color: #55626b; margin-top: .2rem; }
 table { border-collapse: collapse; width: 100%; font-size: .92rem; }
 th, td { padding: .35rem .6rem; text-align: right;
-  border-bottom: 1px solid #dde3e7; font-variant-numeric: tabular-nums; }
+  border-bottom: 1px solid #dde3e7; font-variant-numeric: tabular-nums;
+  white-space: nowrap; }
 th { color: #55626b; font-weight: 600; }
 th.name, td.name { text-align: left; }
 td.hot { color: #a1301a; font-weight: 700; }
@@ -107,8 +109,9 @@
     axes.set_xlabel('minutes before the newest')
     axes.set_ylabel('burn rate')
     axes.set_ylim(bottom=0)
+    axes.xaxis.set_major_locator(MaxNLocator(integer=True))
     if burns:
-        axes.legend(frameon=False, fontsize='small', ncols=2)
+        _legend_beside(axes)
 
 
 def _draw_causes(axes: Axes, burns: Sequence[RankBurn]) -> None:
@@ -121,7 +124,16 @@
         left = [sum(pair) for pair in zip(left, counts, strict=True)]
     axes.set_xlabel('bad answers in six hours')
     axes.invert_yaxis()
-    axes.legend(frameon=False, fontsize='small')
+    _legend_beside(axes)
+
+
+def _legend_beside(axes: Axes) -> None:
+    axes.legend(
+        frameon=False,
+        fontsize='small',
+        loc='upper left',
+        bbox_to_anchor=(1, 1),
+    )
 
 
 def _name(burn: RankBurn) -> str:
--- a/carobmoor/reports/_table.py
+++ b/carobmoor/reports/_table.py
@@ -22,7 +22,11 @@
     """Name the causes that ate the budget, the largest first."""
     bad = sorted(burn.bad_by_cause.items(), key=_by_count)
     total = sum(burn.bad_by_cause.values())
-    shares = [f'{name} {count / total:.0%}' for name, count in bad if count]
+    shares = [
+        f'{name.replace("_", " ")} {count / total:.0%}'
+        for name, count in bad
+        if count
+    ]
     return ', '.join(shares) or _NO_CAUSE
 
 
--- /dev/null
+++ b/carobmoor/tls/_reload.py
@@ -0,0 +1,71 @@
+"""Taking up replaced certificate files."""
+
+import asyncio
+import ssl
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+from carobmoor.telemetry import logger_for
+from carobmoor.tls._contexts import CertificateFiles
+
+_CHECK_INTERVAL_S: Final = 5
+_log = logger_for('tls')
+
+
+class CertificateState:
+    """The contexts that follow one set of files."""
+
+    def __init__(
+        self,
+        files: CertificateFiles,
+        contexts: Sequence[ssl.SSLContext],
+    ) -> None:
+        """Note what the files are now."""
+        self.files = files
+        self.contexts = contexts
+        self.seen = _stamp(files)
+
+
+def reload_if_changed(state: CertificateState) -> bool:
+    """Load the files into the contexts if they were replaced.
+
+    Files that don't fit each other, as in the middle of a replacement, are
+    left for the next check; the contexts keep the old certificate.
+    """
+    stamp = _stamp(state.files)
+    if stamp == state.seen:
+        return False
+    try:
+        _load(state)
+    except (OSError, ssl.SSLError) as error:
+        _log.warning('Certificate not loaded.', reason=str(error))
+        return False
+    state.seen = stamp
+    _log.info('Certificate reloaded.', path=state.files.certificate_path)
+    return True
+
+
+async def watch(state: CertificateState) -> None:
+    """Check the files at an interval until cancelled."""
+    while True:
+        await asyncio.sleep(_CHECK_INTERVAL_S)
+        reload_if_changed(state)
+
+
+def _load(state: CertificateState) -> None:
+    files = state.files
+    # Tried on a context of its own first, as a failed load leaves a context
+    # with a certificate and no key.
+    trial = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    trial.load_cert_chain(files.certificate_path, files.private_key_path)
+    for context in state.contexts:
+        context.load_cert_chain(files.certificate_path, files.private_key_path)
+        context.load_verify_locations(files.authority_path)
+
+
+def _stamp(files: CertificateFiles) -> Sequence[int]:
+    return [
+        Path(path).stat().st_mtime_ns if Path(path).exists() else 0
+        for path in files
+    ]
--- /dev/null
+++ b/carobmoor/tls/tests/test_tls.py
@@ -0,0 +1,121 @@
+"""Listeners and connections with certificates, and their replacement."""
+
+import asyncio
+import ssl
+import tempfile
+from pathlib import Path
+
+from nose2.tools import params
+
+from carobmoor.tls import (
+    CertificateFiles,
+    CertificateState,
+    caller_context,
+    listener_context,
+    reload_if_changed,
+)
+from carobmoor.tls.tests.fixtures import make_authority, write_certificate
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    OutgoingRequest,
+    request_json,
+)
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+REQUEST = OutgoingRequest('GET', '/', ())
+TIMEOUT_S = 5
+
+
+def test_certificate_is_replaced_without_a_cut():
+    """An open connection goes on and a new one gets the new certificate."""
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(replace_certificate(Path(folder)))
+
+
+async def replace_certificate(folder: Path) -> None:
+    """Replace the listener's files between two calls."""
+    authority = make_authority()
+    files = write_certificate(authority, folder)
+    listener = listener_context(files)
+    state = CertificateState(files, (listener,))
+    address = await serve(listener)
+    context = caller_context(files)
+    old = await asyncio.open_connection(*address, ssl=context)
+    before = await ask(old)
+    write_certificate(authority, folder)
+    assert reload_if_changed(state)
+    assert not reload_if_changed(state)
+    new = await asyncio.open_connection(*address, ssl=context)
+    after = await ask(new)
+    assert await ask(old) == before
+    assert after != before
+    for _, writer in (old, new):
+        writer.close()
+
+
+@params('127.0.0.1', '127.0.0.9', 'stranger')
+def test_only_fitting_certificates_are_taken(named):
+    """Another IP number or another authority is a failed connect."""
+    with tempfile.TemporaryDirectory() as folder:
+        reached = asyncio.run(reach(Path(folder), named))
+    assert reached is (named == '127.0.0.1')
+
+
+async def reach(folder: Path, named: str) -> bool:
+    """Call a listener whose certificate names an IP number."""
+    mine = folder / 'mine'
+    mine.mkdir()
+    authority = make_authority()
+    own_files = write_certificate(authority, mine)
+    signer = make_authority() if named == 'stranger' else authority
+    ip = '127.0.0.1' if named == 'stranger' else named
+    address = await serve(
+        listener_context(write_certificate(signer, folder, ip)),
+    )
+    pool = ConnectionPool(caller_context(own_files))
+    called = await request_json(pool, address, REQUEST, TIMEOUT_S)
+    pool.close()
+    if called.is_err():
+        assert called.unwrap_err().step == 'connect'
+    return called.is_ok()
+
+
+def test_files_that_do_not_fit_change_nothing():
+    """A key without its certificate leaves the old pair in use."""
+    with tempfile.TemporaryDirectory() as folder:
+        files = write_certificate(make_authority(), Path(folder))
+        listener = listener_context(files)
+        state = CertificateState(files, (listener,))
+        Path(files.private_key_path).write_text('half a key')
+        assert not reload_if_changed(state)
+        missing = CertificateFiles('none', 'none', 'none')
+        assert not reload_if_changed(CertificateState(missing, ()))
+
+
+async def serve(listener: ssl.SSLContext) -> Address:
+    """Answer every request on a port of the loopback."""
+
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                writer.write(ANSWER)
+        except (EOFError, ConnectionError, asyncio.CancelledError):
+            writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0, ssl=listener)
+    return Address(*server.sockets[0].getsockname())
+
+
+async def ask(
+    connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+) -> bytes:
+    """Send a request and give the certificate that the peer showed."""
+    reader, writer = connection
+    writer.write(b'GET / HTTP/1.1\r\nhost: any\r\n\r\n')
+    assert await reader.readexactly(len(ANSWER)) == ANSWER
+    shown = writer.get_extra_info('ssl_object').getpeercert(binary_form=True)
+    return bytes(shown)
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -10,6 +10,7 @@
 import json
 import signal
 import socket
+import ssl
 import sys
 import tempfile
 from collections.abc import Mapping, Sequence
@@ -56,8 +57,9 @@
 class Deployment:
     """The processes of one deployment."""
 
-    def __init__(self) -> None:
-        """Start nothing yet."""
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        """Start nothing yet; with `tls` the nodes are called encrypted."""
+        self.node_pool = ConnectionPool(tls)
         self.pairs: list[Pair] = []
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.pool = ConnectionPool()
@@ -74,6 +76,7 @@
     async def __aexit__(self, *_: object) -> None:
         """End every process that still runs."""
         self.pool.close()
+        self.node_pool.close()
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
@@ -183,8 +186,9 @@
         """Send a control request and decode its answer; `None` if lost."""
         headers = ((b'authorization', f'Bearer {OPERATOR_TOKEN}'.encode()),)
         request = OutgoingRequest(method, target, headers, body)
+        is_node = any(pair.node == address for pair in self.pairs)
         asked = await request_json(
-            self.pool,
+            self.node_pool if is_node else self.pool,
             address,
             request,
             _SPOKEN_TIMEOUT_S,
--- /dev/null
+++ b/tests/test_tls_path.py
@@ -0,0 +1,59 @@
+"""The whole path with every node's listener and calls encrypted."""
+
+import asyncio
+import os
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from carobmoor import Call, Client
+from carobmoor.cli.tests.fixtures import run_command
+from carobmoor.tls import CertificateFiles, caller_context
+from carobmoor.tls.tests.fixtures import make_authority, write_certificate
+from stand_ins.deployment import Deployment, Place, read_example
+from tests.fixtures import asynchronous
+
+PLACES = (
+    Place('bookings', 'lagos', 'lagos-a'),
+    Place('media', 'lagos', 'lagos-b'),
+)
+
+
+@asynchronous
+async def test_encrypted_path():
+    """The library, nodes among themselves and commands all use TLS."""
+    with tempfile.TemporaryDirectory() as folder:
+        files = write_certificate(make_authority(), Path(folder))
+        await call_encrypted(files)
+
+
+async def call_encrypted(files: CertificateFiles) -> None:
+    """Call through the library, through a command and without TLS."""
+    context = caller_context(files)
+    async with Deployment(context) as deployment:
+        settings = {'tls': files._asdict()}
+        await deployment.start(PLACES, read_example('adeyemi'), settings)
+        contacts = [str(pair.node) for pair in deployment.pairs]
+        async with Client(contacts, 'test-caller', tls=context) as client:
+            answered = await client.call(Call('bookings', 'POST', '/x', b'x'))
+        assert answered.unwrap().status == 200
+        variables = dict(
+            zip(
+                (
+                    'CAROBMOOR_CERTIFICATE',
+                    'CAROBMOOR_PRIVATE_KEY',
+                    'CAROBMOOR_AUTHORITY',
+                ),
+                files,
+                strict=True,
+            ),
+        )
+        with mock.patch.dict(os.environ, variables):
+            status = await asyncio.to_thread(
+                run_command,
+                'status',
+                contacts[0],
+            )
+        assert status.code == 0
+        plain = await asyncio.to_thread(run_command, 'status', contacts[0])
+        assert plain.code == 1
