Explain the way that one request took

Cause: after a bad answer nobody could tell which node decided what.

Change: every request notes its steps at the node; at its end the record is kept when it was bad (2,000 a node) and by a sample on its id when it was good (500 a node, one in 64, the same on every node it passed). `carobmoor explain ID` asks every known node and prints the records in order of arrival; commands now print the id of their request.

Ruled out: one bounded list for both; good requests would push out the bad ones (test_good_records_never_push_out_bad_ones).

Not there yet: the choice with its candidates' ages, retries and hedges, which come with the routing's own record. Cost a call: not measured yet.

--- a/carobmoor/cli/_admin.py
+++ b/carobmoor/cli/_admin.py
@@ -3,6 +3,7 @@
 import asyncio
 import difflib
 import sys
+import uuid
 from pathlib import Path
 from typing import Any, Final
 
@@ -135,6 +136,7 @@
         str(body).encode(),
         rank=rank,
         timeout_ms=timeout_ms,
+        request_id=uuid.uuid4().hex,
         repeatable=method == _GET,
     )
     asyncio.run(_call(wanted, node))
@@ -150,11 +152,14 @@
         outcome = 'unknown' if unknown else 'not run'
         fail(
             f'{outcome}: {failure.code} at step {failure.step}, '
-            f'peer {failure.peer}. {failure.detail}',
+            f'peer {failure.peer}, request {wanted.request_id}. '
+            f'{failure.detail}',
             _EXIT_UNKNOWN if unknown else _EXIT_NOT_RUN,
         )
     answer = called.ok_value
-    sys.stdout.write(f'{answer.status} from {answer.owner}\n')
+    sys.stdout.write(
+        f'{answer.status} from {answer.owner}, request {answer.request_id}\n'
+    )
     sys.stdout.flush()
     sys.stdout.buffer.write(b'%b\n' % answer.body)
 
--- a/carobmoor/cli/_main.py
+++ b/carobmoor/cli/_main.py
@@ -11,7 +11,7 @@
 
 from carobmoor.cli._admin import ConfigCommands, call, drain, status
 from carobmoor.cli._output import exit_with_faults, fail, print_json
-from carobmoor.cli._report import ReportCommands
+from carobmoor.cli._report import ReportCommands, explain
 from carobmoor.configuration import (
     document_schema,
     read_commented,
@@ -87,6 +87,7 @@
                 'schema': schema,
                 'config': ConfigCommands,
                 'report': ReportCommands,
+                'explain': explain,
                 'status': status,
                 'drain': drain,
                 'call': call,
--- a/carobmoor/cli/_report.py
+++ b/carobmoor/cli/_report.py
@@ -7,9 +7,9 @@
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Final
+from urllib.parse import quote
 
 import msgspec
-from result import Err
 
 from carobmoor.burn import (
     Snapshot,
@@ -17,23 +17,20 @@
     judge,
     merge_snapshots,
 )
-from carobmoor.cli._environment import tls_of_environment
+from carobmoor.cli._environment import token_headers
+from carobmoor.cli._nodes import ask_every_node
 from carobmoor.cli._output import fail
-from carobmoor.membership import Standing, decode_members
+from carobmoor.explain import decode_record, render_records
 from carobmoor.transport import (
-    Address,
-    ConnectionPool,
     OutgoingRequest,
-    parse_address,
-    request_json,
 )
 
+_FIRST_FAILED_STATUS: Final = 400
 # Loaded on demand: it brings a plotting library that no node needs.
 _REPORTS: Final = 'carobmoor.reports'
 _TIMEOUT_S: Final = 5
 _S_PER_MIN: Final = 60
 _SNAPSHOTS: Final = OutgoingRequest('GET', '/_carobmoor/burn', ())
-_MEMBERS: Final = OutgoingRequest('GET', '/_carobmoor/members', ())
 
 
 class ReportCommands:
@@ -89,39 +86,32 @@
 
 
 async def _ask(node: str) -> Sequence[Snapshot]:
-    try:
-        first = parse_address(node)
-    except ValueError:
-        fail(f'{node} is no address; give it as IP:PORT')
-    pool = ConnectionPool(tls_of_environment())
-    addresses = await _nodes_known_to(pool, first)
-    asked = await asyncio.gather(
-        *(_snapshots_of(pool, address) for address in addresses),
-    )
-    pool.close()
-    return [snapshot for taken in asked for snapshot in taken]
-
-
-async def _nodes_known_to(
-    pool: ConnectionPool,
-    first: Address,
-) -> Sequence[Address]:
-    told = await request_json(pool, first, _MEMBERS, _TIMEOUT_S)
-    if isinstance(told, Err):
-        fail(f'{first}: {told.err_value.reason}')
+    asked = await ask_every_node(node, _SNAPSHOTS)
     return [
-        parse_address(member.address)
-        for member in decode_members(told.ok_value.body)
-        if member.standing is not Standing.DEAD
+        snapshot
+        for answer in asked
+        for snapshot in decode_snapshots(answer.body)
     ]
 
 
-async def _snapshots_of(
-    pool: ConnectionPool,
-    address: Address,
-) -> Sequence[Snapshot]:
-    told = await request_json(pool, address, _SNAPSHOTS, _TIMEOUT_S)
-    if isinstance(told, Err):
-        sys.stderr.write(f'{address} is left out: {told.err_value.reason}\n')
-        return ()
-    return decode_snapshots(told.ok_value.body)
+def explain(request_id: str, node: str) -> None:
+    """Print the way that one request took, from the nodes that it passed.
+
+    Args:
+        request_id: The id, as answers and refusals carry it.
+        node: Any node as IP:PORT; the nodes that it knows are asked.
+    """
+    target = f'/_carobmoor/requests/{quote(str(request_id), safe="")}'
+    request = OutgoingRequest('GET', target, token_headers())
+    answers = asyncio.run(ask_every_node(node, request))
+    records = [
+        decode_record(answer.body)
+        for answer in answers
+        if answer.head.status < _FIRST_FAILED_STATUS
+    ]
+    if not records:
+        fail(
+            f'no node has a record of {request_id}; good requests are kept '
+            'by sample and old ones are forgotten',
+        )
+    sys.stdout.write(f'{render_records(records)}\n')
--- /dev/null
+++ b/carobmoor/explain/tests/test_explain.py
@@ -0,0 +1,58 @@
+"""Records are kept within bounds and read well."""
+
+from nose2.tools import params
+
+from carobmoor.explain import (
+    Note,
+    RecordState,
+    RequestRecord,
+    find_record,
+    keep_record,
+    recent_bad,
+    render_records,
+)
+
+NOTE = Note(0.0125, 'admission', 'queued behind', '3 requests')
+
+
+def record_of(request_id: str, arrived_s: float = 0) -> RequestRecord:
+    """Make a record."""
+    return RequestRecord(
+        request_id,
+        '10.0.0.1:80',
+        'gate',
+        'desk',
+        'lobby',
+        0,
+        arrived_s,
+        'queue_full',
+        (NOTE,),
+    )
+
+
+@params((True, 5000, 2000), (False, 64_000, 500))
+def test_records_are_bounded(is_bad, offered, kept):
+    """However many requests pass, a bounded number is kept."""
+    state = RecordState()
+    for number in range(offered):
+        keep_record(state, record_of(f'r{number}'), is_bad)
+    assert len(state.bad) + len(state.good) == kept
+    assert find_record(state, 'r0') is None
+
+
+def test_good_records_never_push_out_bad_ones():
+    """A bad record outlives any number of good ones."""
+    state = RecordState()
+    keep_record(state, record_of('bad'), is_bad=True)
+    for number in range(10_000):
+        keep_record(state, record_of(f'r{number}'), is_bad=False)
+    assert find_record(state, 'bad') == record_of('bad')
+    assert recent_bad(state, 10) == [record_of('bad')]
+
+
+def test_records_read_in_order_of_arrival():
+    """The first node that a request met is told first."""
+    later = record_of('r', 2)._replace(node='10.0.0.2:80')
+    told = render_records([later, record_of('r', 1)])
+    assert told.splitlines()[0] == 'r at 10.0.0.1:80: queue_full'
+    assert '    12.50 ms  admission: queued behind 3 requests' in told
--- a/carobmoor/node/_account.py
+++ b/carobmoor/node/_account.py
@@ -9,6 +9,7 @@
     cause_of_lateness,
     record,
 )
+from carobmoor.explain import RequestRecord, is_sampled, keep_record
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Failure
@@ -28,16 +29,43 @@
     rank = context.rank or node.default_rank
     outcome = 'answered' if failure is None else failure.code.value
     node.count(context.service, rank, outcome, exchange.started_s)
-    answered_elsewhere = failure is None and context.service != node.service
-    if answered_elsewhere:
-        return
     took_s = time.monotonic() - exchange.started_s
     cause = _cause(node, exchange, took_s, failure)
+    is_bad = failure is not None or cause is not None
+    _explain(node, exchange, failure, is_bad)
+    answered_elsewhere = failure is None and context.service != node.service
     is_fault_of_caller = failure is not None and cause is None
-    if not is_fault_of_caller:
+    if not answered_elsewhere and not is_fault_of_caller:
         record(node.burn, context.service, rank, took_s, cause, time.time())
 
 
+def _explain(
+    node: NodeState,
+    exchange: Exchange,
+    failure: Failure | None,
+    is_bad: bool,
+) -> None:
+    context = exchange.context
+    if not is_bad and not is_sampled(context.request_id):
+        return
+    outcome = 'answered'
+    if failure is not None:
+        outcome = failure.code.value
+        exchange.note(failure.step, outcome, f'{failure.peer} {failure.detail}')
+    kept = RequestRecord(
+        context.request_id,
+        node.here,
+        context.service,
+        context.rank,
+        exchange.caller,
+        context.depth,
+        time.time() - (time.monotonic() - exchange.started_s),
+        outcome,
+        exchange.notes,
+    )
+    keep_record(node.records, kept, is_bad)
+
+
 def _cause(
     node: NodeState,
     exchange: Exchange,
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -18,6 +18,7 @@
     read_history,
     validate_document,
 )
+from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, NotRun, encode_failure, http_status_of
 
@@ -26,6 +27,7 @@
 _UNPROCESSABLE: Final = 422
 _BEARER: Final = 'Bearer '
 _PREFIX: Final = '/_carobmoor'
+_MOST_LISTED: Final = 100
 
 
 class StatusDocument(TypedDict):
@@ -87,6 +89,18 @@
         content = Content(b'text/plain; version=0.0.4', node.metrics.render())
         return Response(_OK, content=content)
 
+    async def explain(request_id: str) -> Response:
+        kept = find_record(node.records, request_id)
+        if kept is None:
+            return _refuse(node, Code.NOT_FOUND, 'no record of this request')
+        return _json(_OK, kept)
+
+    async def bad_requests() -> Response:
+        return _json(_OK, recent_bad(node.records, _MOST_LISTED))
+
+    app.router.add_get(f'{_PREFIX}/requests', bad_requests)
+    app.router.add_get(f'{_PREFIX}/requests/{{request_id}}', explain)
+
     async def burn() -> Response:
         return _json(_OK, take_snapshots(node.burn, node.objectives))
 
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -82,11 +82,13 @@
         context.depth,
         exchange.deadline_s,
     )
+    exchange.note('admission', 'asked', arrival.rank)
     entered = await node.gate.enter(arrival)
     if isinstance(entered, Err):
         return NotRun(entered.err_value, 'admission', node.here)
     started_s = time.monotonic()
     exchange.queued_s = started_s - exchange.started_s
+    exchange.note('admission', 'started')
     try:
         return await _run(node, exchange)
     finally:
@@ -111,6 +113,7 @@
     )
     if isinstance(sent, Err):
         return _lost(exchange, failure_of(sent.err_value))
+    exchange.note('backend server', 'answered', str(node.backend_server))
     extra = (
         (REQUEST_ID_HEADER, context.request_id.encode()),
         *_own_headers(node),
@@ -138,6 +141,7 @@
     sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call)
     if isinstance(sent, Err):
         return sent.err_value
+    exchange.note('forwarding', 'answered', str(sent.ok_value.address))
     extra = ((REQUEST_ID_HEADER, context.request_id.encode()),)
     await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
     return None
--- a/carobmoor/node/_exchange.py
+++ b/carobmoor/node/_exchange.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from carobmoor.configuration import ServiceDocument
+from carobmoor.explain import Note
 from carobmoor.node._body import IncomingBody, Receive
 from carobmoor.node._context import RequestContext
 from carobmoor.node._relay import Send
@@ -38,6 +39,7 @@
             _DEFAULT_DEADLINE_MS,
         )
         self.deadline_s = self.started_s + deadline_ms / _MS_PER_S
+        self.notes: list[Note] = []
         self.queued_s = float(0)
         self.served_s = float(0)
         self.floor = _floor_of(declared)
@@ -52,6 +54,11 @@
             is_absent=not context.body_bytes,
         )
 
+    def note(self, part: str, event: str, subject: str = '') -> None:
+        """Note a step for the record of this request."""
+        after_s = time.monotonic() - self.started_s
+        self.notes.append(Note(after_s, part, event, subject))
+
     @property
     def left_s(self) -> float:
         """The time left before the deadline."""
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -13,6 +13,7 @@
     admission_policy_of,
     objectives_of,
 )
+from carobmoor.explain import RecordState
 from carobmoor.membership import Gossip
 from carobmoor.node._pools import Pools
 from carobmoor.node._settings import Settings
@@ -48,6 +49,7 @@
         self.gossip = gossip
         self.metrics = NodeMetrics()
         self.burn = BurnState()
+        self.records = RecordState()
         self.objectives: Sequence[Objective] = ()
         self.gate = Gate(_NO_POLICY)
         self.configuration = ConfigurationState(self._put_in_force)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -46,6 +46,21 @@
         assert await process.wait() == 0
 
 
+@asynchronous
+async def test_explain_tells_the_way_of_a_bad_request():
+    """A refused request is explained by the node that refused it."""
+    async with running(PLACE) as deployment:
+        node = str(deployment.pairs[0].node)
+        await deployment.kill('backend bookings-0')
+        refused = await command('call', 'bookings', '/x', node)
+        request_id = refused.err.partition(', request ')[2].partition('.')[0]
+        explained = await command('explain', request_id, node)
+        unheard = await command('explain', 'unheard', node)
+    assert explained.out.startswith(f'{request_id} at {node}: not_sent')
+    assert 'admission: started' in explained.out
+    assert unheard.code == 1
+
+
 @asynchronous
 async def test_wrong_token_changes_nothing():
     """Without the token a command says so and fails."""
