--- a/carobmoor/client/__init__.py
+++ b/carobmoor/client/__init__.py
@@ -6,7 +6,7 @@
         called = await client.call(Call('bookings', 'GET', '/today'))
 """
 
-from carobmoor.client._client import Client, learn_members
+from carobmoor.client._client import Client, learn_service
 from carobmoor.client._dispatch import Dispatcher, failure_of
 from carobmoor.client._headers import (
     CALLER_HEADER,
@@ -32,5 +32,5 @@
     'Client',
     'Dispatcher',
     'failure_of',
-    'learn_members',
+    'learn_service',
 ]
--- a/carobmoor/client/_client.py
+++ b/carobmoor/client/_client.py
@@ -3,9 +3,9 @@
 import asyncio
 import contextlib
 import random
-from collections import defaultdict
 from collections.abc import Sequence
 from typing import Final, Self
+from urllib.parse import quote
 
 import msgspec
 from result import Err, Ok, Result
@@ -28,16 +28,21 @@
     request_json,
 )
 
-_REFRESH_INTERVAL_S: Final = 0.5
+_REFRESH_INTERVAL_S: Final = 5
+# The least time between two refreshes that failed calls ask for.
+_LEAST_INTERVAL_S: Final = 0.5
+_NOT_MODIFIED: Final = 304
 _REFRESH_TIMEOUT_S: Final = 1
 _MOST_ANSWER_BYTES: Final = 67_108_864
-_MEMBERS: Final = OutgoingRequest('GET', '/_carobmoor/members', ())
+_MEMBERS_TARGET: Final = '/_carobmoor/members'
 
 
 class Client:
     """Calls services through their owner nodes, in one hop.
 
-    It learns the nodes from any of the `contacts`, each given as `ip:port`.
+    It learns the nodes of the services that it calls from any of the
+    `contacts`, each given as `ip:port`: at the first call, then rarely, and
+    soon after a call that found no owner.
     Use it as an asynchronous context manager or call `close` in the end.
     """
 
@@ -58,10 +63,13 @@
             self._pool,
             self._rng,
         )
+        # The entity tag of each service's nodes, as last learned.
+        self._etags: dict[str, str] = {}
+        self._is_refresh_due = asyncio.Event()
         self._refresher: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        """Learn the nodes."""
+        """Start learning the nodes."""
         await self.start()
         return self
 
@@ -70,8 +78,7 @@
         await self.close()
 
     async def start(self) -> None:
-        """Learn the nodes once, then keep learning in the background."""
-        await self.refresh()
+        """Keep learning the nodes in the background."""
         self._refresher = asyncio.create_task(self._keep_refreshing())
 
     async def close(self) -> None:
@@ -100,54 +107,84 @@
 
     async def stream(self, call: Call) -> Result[Answer, Failure]:
         """Send a call and give its answer with the body still to be read."""
-        return await self.dispatcher.dispatch(
+        if call.service not in self._etags:
+            await self._learn(call.service)
+        sent = await self.dispatcher.dispatch(
             call._replace(caller=call.caller or self._caller),
         )
+        if isinstance(sent, Err):
+            self._is_refresh_due.set()
+        return sent
 
     async def refresh(self) -> bool:
-        """Learn the nodes from the first contact that answers."""
-        for contact in self._rng.sample(self._contacts, len(self._contacts)):
-            if await self._learn_from(contact):
-                return True
-        return False
+        """Learn the nodes of every service called so far."""
+        learned = [await self._learn(service) for service in self._etags]
+        return all(learned)
 
     async def _keep_refreshing(self) -> None:
         while True:
-            await asyncio.sleep(_REFRESH_INTERVAL_S)
+            await asyncio.sleep(_LEAST_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_REFRESH_INTERVAL_S):
+                    await self._is_refresh_due.wait()
+            self._is_refresh_due.clear()
             await self.refresh()
 
-    async def _learn_from(self, contact: Address) -> bool:
+    async def _learn(self, service: str) -> bool:
+        """Learn a service's nodes from the first contact that answers."""
+        for contact in self._rng.sample(self._contacts, len(self._contacts)):
+            if await self._learn_from(contact, service):
+                return True
+        return False
+
+    async def _learn_from(self, contact: Address, service: str) -> bool:
+        etag = self._etags.get(service, '').encode()
         told = await request_json(
             self._pool,
             contact,
-            _MEMBERS,
+            OutgoingRequest(
+                'GET',
+                f'{_MEMBERS_TARGET}?service={quote(service)}',
+                ((b'if-none-match', etag),),
+            ),
             _REFRESH_TIMEOUT_S,
         )
         if isinstance(told, Err):
             return False
+        answer = told.ok_value
+        if answer.head.status == _NOT_MODIFIED:
+            return True
         try:
-            members = decode_members(told.ok_value.body)
+            members = decode_members(answer.body)
         except msgspec.DecodeError:
             return False
-        learn_members(self.dispatcher.routing, members)
+        learn_service(self.dispatcher.routing, service, members)
+        self._etags[service] = header_of(answer.head.headers, b'etag')
         return True
 
 
-def learn_members(routing: RoutingState, members: Sequence[Member]) -> None:
-    """Make the members that take work the candidates of their services."""
-    by_service: defaultdict[str, list[Candidate]] = defaultdict(list)
-    for member in members:
-        candidates = by_service[member.service]
-        if member.standing is Standing.ALIVE:
-            candidates.append(
-                Candidate(
-                    parse_address(member.address),
-                    member.region,
-                    member.availability_zone,
-                ),
+def learn_service(
+    routing: RoutingState,
+    service: str,
+    members: Sequence[Member],
+) -> None:
+    """Make the members that take work the candidates of their service.
+
+    Suspects are candidates only where nobody else is left.
+    """
+    for standing in (Standing.ALIVE, Standing.SUSPECT):
+        candidates = [
+            Candidate(
+                parse_address(member.address),
+                member.region,
+                member.availability_zone,
             )
-    for service, candidates in by_service.items():
-        keep_candidates(routing, service, candidates)
+            for member in members
+            if member.standing is standing
+        ]
+        if candidates:
+            break
+    keep_candidates(routing, service, candidates)
 
 
 def _whole(answer: Answer, body: bytes) -> CallAnswer:
--- a/carobmoor/membership/__init__.py
+++ b/carobmoor/membership/__init__.py
@@ -1,30 +1,47 @@
 """Which nodes there are, told from node to node without a list.
 
 The decisions are plain functions over `MembershipState`; `Gossip` is the
-task that exchanges news with other nodes.
+task that owns the socket and exchanges news with other nodes.
 """
 
 from carobmoor.membership._gossip import Gossip
-from carobmoor.membership._merge import (
-    confirm_dead,
-    declare_self,
-    merge,
-    suspect,
+from carobmoor.membership._merge import declare_self, merge, suspect
+from carobmoor.membership._messages import (
+    Member,
+    Standing,
+    Zone,
+    decode_members,
 )
-from carobmoor.membership._messages import Member, Standing, decode_members
-from carobmoor.membership._seeds import announce, read_seeds
+from carobmoor.membership._rendezvous import is_chosen
+from carobmoor.membership._seeds import join, keep_seeds
+from carobmoor.membership._signing import is_signed, sign
+from carobmoor.membership._socket import Traffic
 from carobmoor.membership._state import MembershipState
+from carobmoor.membership._sync import (
+    SIGNATURE_HEADER,
+    Peers,
+    answer_digests,
+    answer_members,
+)
 
 __all__ = [
+    'SIGNATURE_HEADER',
     'Gossip',
     'Member',
     'MembershipState',
+    'Peers',
     'Standing',
-    'announce',
-    'confirm_dead',
+    'Traffic',
+    'Zone',
+    'answer_digests',
+    'answer_members',
     'declare_self',
     'decode_members',
+    'is_chosen',
+    'is_signed',
+    'join',
+    'keep_seeds',
     'merge',
-    'read_seeds',
+    'sign',
     'suspect',
 ]
--- a/carobmoor/membership/_gossip.py
+++ b/carobmoor/membership/_gossip.py
@@ -1,80 +1,210 @@
-"""The task that exchanges news with other nodes."""
+"""The task that owns a node's datagram socket and exchanges news."""
 
 import asyncio
 import random
 import time
+from collections.abc import Callable, Iterable
 from typing import Final
 
-import msgspec
-from result import Err
-
-from carobmoor.membership._merge import confirm_dead, merge, suspect
-from carobmoor.membership._messages import Member, decode_members
+from carobmoor.membership._jitter import jitter
+from carobmoor.membership._merge import (
+    UNREACHABLE_KEPT_S,
+    declare_self,
+    forget_old,
+)
+from carobmoor.membership._messages import (
+    Datagram,
+    Kind,
+    Member,
+    Outgoing,
+    Standing,
+)
+from carobmoor.membership._news import tellings_for
+from carobmoor.membership._probe import (
+    PAUSE_S,
+    PROBE_INTERVAL_S,
+    ProbeState,
+    expire,
+    hear,
+    note_pause,
+    start_round,
+)
+from carobmoor.membership._socket import DatagramSocket
 from carobmoor.membership._state import MembershipState
+from carobmoor.membership._sync import Peers, synchronise
+from carobmoor.membership._targets import Targets
 from carobmoor.telemetry import logger_for
-from carobmoor.transport import (
-    Address,
-    ConnectionPool,
-    OutgoingRequest,
-    parse_address,
-    request_json,
-)
+from carobmoor.transport import Address, ConnectionPool, parse_address
 
-_INTERVAL_S: Final = 0.5
-_TIMEOUT_S: Final = 0.5
-_SUSPICION_S: Final = 2
-_TARGET: Final = '/_carobmoor/gossip'
-_HEADERS: Final = ((b'content-type', b'application/json'),)
+_TICK_S: Final = 0.25
+_FAN_OUT: Final = 2
+_SYNC_INTERVAL_S: Final = 30
+_FIRST_SYNC_S: Final = 5
+# Nodes come together after a cut one by one, not all in the same second.
+_RETURN_SPREAD_S: Final = 5
+_FORGET_INTERVAL_S: Final = 60
+_FAREWELLS: Final = 8
 _log = logger_for('membership')
 
 
 class Gossip:
-    """Tells one other node at a time all that this node knows."""
+    """Probes other nodes and passes on the news of them."""
 
     def __init__(
         self,
         state: MembershipState,
         pool: ConnectionPool,
         rng: random.Random,
+        cluster_key: bytes = b'',
+        on_version: Callable[[Member, int], None] | None = None,
     ) -> None:
-        """Bind the state to the pool that carries the news."""
+        """Bind the state to the socket and the pool that carry the news.
+
+        `on_version` hears the configuration version in force at a sender.
+        """
         self.state = state
-        self._pool = pool
+        self.peers = Peers(pool, cluster_key)
+        self.socket = DatagramSocket(cluster_key, self.hear)
+        self.version = 0
+        self.on_version = on_version
         self._rng = rng
+        self._targets = Targets(state, rng)
+        self.probes = ProbeState(state, self._targets)
+        now_s = time.monotonic()
+        self._next_probe_s = now_s
+        self._next_sync_s = now_s + _FIRST_SYNC_S * rng.random()
+        self._next_forget_s = now_s + _FORGET_INTERVAL_S
 
     async def run(self) -> None:
-        """Exchange news at a fixed interval until cancelled."""
-        while True:
-            await self.round()
-            await asyncio.sleep(_INTERVAL_S)
+        """Probe and tell until cancelled."""
+        await self.socket.open(self.state.me.address)
+        try:
+            await self._tick_on()
+        finally:
+            self.socket.close()
+
+    def hear(self, datagram: Datagram) -> None:
+        """Take in a datagram and answer it."""
+        self._send(hear(self.probes, datagram, time.monotonic()))
+        self._note_version(datagram)
 
-    async def round(self) -> None:
-        """Exchange news with one member and judge the suspects."""
-        others = self.state.others()
-        if others:
-            await self.exchange(parse_address(self._rng.choice(others).address))
-        confirm_dead(self.state, _SUSPICION_S, time.monotonic())
+    def tick(self, now_s: float) -> None:
+        """Judge what is overdue, probe when it is time, and tell news."""
+        self._send(expire(self.probes, now_s))
+        if now_s >= self._next_probe_s:
+            wait_s = PROBE_INTERVAL_S * self.probes.health.factor
+            # Intervals that differ keep nodes from probing in step.
+            self._next_probe_s = now_s + wait_s * jitter(self._rng)
+            self._send(start_round(self.probes, now_s))
+        if self.state.news:
+            self._tell_news()
+        if now_s >= self._next_forget_s:
+            self._next_forget_s = now_s + _FORGET_INTERVAL_S
+            forget_old(self.state, now_s)
 
     async def exchange(self, address: Address) -> bool:
-        """Tell an address what is known and merge what it knows."""
-        body = msgspec.json.encode(list(self.state.members.values()))
-        request = OutgoingRequest('POST', _TARGET, _HEADERS, body)
-        told = await request_json(self._pool, address, request, _TIMEOUT_S)
-        if isinstance(told, Err):
-            suspect(self.state, str(address), time.monotonic())
-            return False
-        self.hear(told.ok_value.body)
-        return True
-
-    def hear(self, body: bytes) -> None:
-        """Merge the members of a message; a malformed one changes nothing."""
-        try:
-            news = decode_members(body)
-        except msgspec.DecodeError as error:
-            _log.warning('News not readable.', reason=str(error))
-            return
-        merge(self.state, news, time.monotonic())
+        """Make this node and another know the same."""
+        now_s = time.monotonic()
+        return await synchronise(self.state, self.peers, address, now_s)
+
+    def announce_version(self, version: int) -> None:
+        """Tell the others that a newer configuration is in force here."""
+        if version > self.version:
+            self.version = version
+            tellings = tellings_for(self.state.alive_count) * _FAN_OUT
+            self.state.news.add_version(tellings)
+
+    def leave(self) -> None:
+        """Tell that this node takes no new work."""
+        declare_self(self.state, Standing.LEAVING, time.monotonic())
+
+    def say_farewell(self) -> None:
+        """Tell some others that this node is gone, as its last word."""
+        declare_self(self.state, Standing.DEAD, time.monotonic())
+        for _ in range(_FAREWELLS):
+            self._tell_news()
 
     def known(self) -> list[Member]:
-        """Give every member that this node knows."""
-        return list(self.state.members.values())
+        """Give every member that is not dead."""
+        return [self.state.me, *self.state.others()]
+
+    async def _tick_on(self) -> None:
+        due_s = time.monotonic()
+        syncing: asyncio.Task[None] | None = None
+        while True:
+            due_s += _TICK_S
+            await asyncio.sleep(max(0, due_s - time.monotonic()))
+            now_s = time.monotonic()
+            if now_s - due_s > PAUSE_S:
+                self._resume(now_s - due_s)
+                due_s = now_s
+            self.tick(now_s)
+            is_free = syncing is None or syncing.done()
+            if is_free and now_s >= self._next_sync_s:
+                syncing = asyncio.create_task(self._sync_once(now_s))
+
+    def _resume(self, lag_s: float) -> None:
+        _log.warning('Node stood still.', lag_s=round(lag_s, 1))
+        note_pause(self.probes, lag_s)
+        if lag_s > UNREACHABLE_KEPT_S:
+            for member in self.state.others():
+                self.state.forget(member.address)
+
+    async def _sync_once(self, now_s: float) -> None:
+        spread = jitter(self._rng)
+        self._next_sync_s = now_s + _SYNC_INTERVAL_S * spread
+        returned = self.probes.returned
+        if returned:
+            address = returned.pop()
+            returned.clear()
+        else:
+            member = self._targets.to_tell()
+            if member is None:
+                self._next_sync_s = now_s + _FIRST_SYNC_S
+                return
+            address = member.address
+        await self.exchange(parse_address(address))
+
+    def _tell_news(self) -> None:
+        for _ in range(_FAN_OUT):
+            member = self._targets.to_tell()
+            if member is not None:
+                self._send([Outgoing(member.address, Kind.NEWS)])
+
+    def _note_version(self, datagram: Datagram) -> None:
+        if self.probes.returned:
+            soon_s = time.monotonic() + _RETURN_SPREAD_S * self._rng.random()
+            self._next_sync_s = min(self._next_sync_s, soon_s)
+        if datagram.version > self.version and self.on_version is not None:
+            sender = self.state.members.get(datagram.sender)
+            if sender is not None:
+                self.on_version(sender, datagram.version)
+
+    def _send(self, outgoing: Iterable[Outgoing]) -> None:
+        for message in outgoing:
+            datagram = Datagram(
+                message.kind,
+                message.number,
+                self.state.me.address,
+                message.target,
+                self.version,
+                self._news_for(message.address),
+            )
+            self.socket.send(message.address, datagram)
+
+    def _news_for(self, address: str) -> list[Member]:
+        """Give the news for a member, what is held against it first."""
+        state = self.state
+        about = state.members.get(address)
+        news: list[Member] = []
+        if about is not None and _should_hear(state, about):
+            state.disputed.discard(address)
+            news.append(about)
+        tellings = tellings_for(state.alive_count)
+        news.extend(state.news.pick(state.members, tellings))
+        return news
+
+
+def _should_hear(state: MembershipState, about: Member) -> bool:
+    is_accused = about.standing in {Standing.SUSPECT, Standing.DEAD}
+    return is_accused or about.address in state.disputed
--- a/carobmoor/membership/_merge.py
+++ b/carobmoor/membership/_merge.py
@@ -1,12 +1,27 @@
 """How news of a member changes what a node knows."""
 
-from collections.abc import Iterable
-from typing import Final
+import math
+from collections.abc import Iterable, Sequence
+from typing import Final, NamedTuple
 
 from carobmoor.membership._messages import Member, Standing
 from carobmoor.membership._state import MembershipState
 
-_REFUTED: Final = frozenset((Standing.SUSPECT, Standing.DEAD))
+_LEAST_SUSPICION_S: Final = 2
+_SUSPICION_S_PER_DECADE: Final = 2
+# How long the dead are remembered, so that late news can't bring them back.
+DEAD_KEPT_S: Final = 86_400
+# How long members of a vanished zone are kept; well below the above, so that
+# whoever still holds them meets nodes that remember their deaths.
+UNREACHABLE_KEPT_S: Final = 21_600
+
+
+class _Precedence(NamedTuple):
+    incarnation: int
+    standing: int
+    service: str
+    region: str
+    availability_zone: str
 
 
 def merge(
@@ -25,28 +40,44 @@
             _refute(state, member, now_s)
         elif _is_newer(state, member):
             state.keep(member, now_s)
+            _start_suspicion(state, member, now_s)
             taken += 1
+        else:
+            _dispute(state, member)
     return taken
 
 
-def suspect(state: MembershipState, address: str, now_s: float) -> None:
-    """Note that a member did not answer."""
-    member = state.members.get(address)
-    if member is not None and member.standing is Standing.ALIVE:
-        state.keep(member._replace(standing=Standing.SUSPECT), now_s)
+def corrections(
+    state: MembershipState,
+    told: Sequence[Member],
+) -> Sequence[Member]:
+    """List what is known better than it was told."""
+    known = [state.members.get(member.address) for member in told]
+    return [
+        ours
+        for ours, theirs in zip(known, told, strict=True)
+        if ours is not None and _precedence(ours) > _precedence(theirs)
+    ]
 
 
-def confirm_dead(
-    state: MembershipState,
-    suspicion_s: float,
-    now_s: float,
-) -> None:
-    """Declare dead whoever was suspect for `suspicion_s`."""
-    for member in tuple(state.members.values()):
-        since_s = state.changed_at_s.get(member.address, now_s)
-        overdue = now_s - since_s >= suspicion_s
-        if member.standing is Standing.SUSPECT and overdue:
-            state.keep(member._replace(standing=Standing.DEAD), now_s)
+def suspicion_time_s(state: MembershipState) -> float:
+    """How long a suspect may refute; grows with the size of the cluster."""
+    decades = math.log10(max(1, state.alive_count))
+    return max(_LEAST_SUSPICION_S, _SUSPICION_S_PER_DECADE * decades)
+
+
+def suspect(state: MembershipState, address: str, now_s: float) -> None:
+    """Note that a member did not answer.
+
+    A leaving member stays leaving, but is dead too when it stays silent.
+    """
+    member = state.members.get(address)
+    if member is None or member.standing is Standing.DEAD:
+        return
+    if member.standing is Standing.ALIVE:
+        member = member._replace(standing=Standing.SUSPECT)
+        state.keep(member, now_s)
+    _time_suspicion(state, member, now_s)
 
 
 def declare_self(
@@ -62,22 +93,74 @@
     state.keep(state.me, now_s)
 
 
+def forget_old(state: MembershipState, now_s: float) -> None:
+    """Forget the long dead and the members of zones long unreachable."""
+    old = [
+        address
+        for address, since_s in state.dead_since_s.items()
+        if now_s - since_s >= DEAD_KEPT_S and address != state.me.address
+    ]
+    for zone in state.zones.values():
+        since_s = zone.unreachable_since_s
+        if since_s is not None and now_s - since_s >= UNREACHABLE_KEPT_S:
+            old.extend(zone.members)
+    for address in old:
+        state.forget(address)
+
+
 def _refute(state: MembershipState, news: Member, now_s: float) -> None:
     me = state.me
-    stale = news.incarnation < me.incarnation
-    if stale or (news.standing not in _REFUTED and news == me):
+    if news.incarnation < me.incarnation or news == me:
         return
-    if news.incarnation > me.incarnation or news.standing in _REFUTED:
-        state.me = me._replace(incarnation=news.incarnation + 1)
-        state.keep(state.me, now_s)
+    if me.standing is Standing.DEAD:
+        return
+    state.me = me._replace(incarnation=news.incarnation + 1)
+    state.keep(state.me, now_s)
 
 
-def _is_newer(state: MembershipState, member: Member) -> bool:
-    known = state.members.get(member.address)
-    if known is None:
-        return True
-    return _precedence(member) > _precedence(known)
+def _start_suspicion(
+    state: MembershipState,
+    member: Member,
+    now_s: float,
+) -> None:
+    # Only nodes of the same region judge; others may be cut off from the
+    # refutation.
+    is_near = member.region == state.me.region
+    if member.standing is Standing.SUSPECT and is_near:
+        _time_suspicion(state, member, now_s)
 
 
-def _precedence(member: Member) -> tuple[int, int]:
-    return (member.incarnation, member.standing.value)
+def _time_suspicion(
+    state: MembershipState,
+    member: Member,
+    now_s: float,
+) -> None:
+    ends_s = now_s + suspicion_time_s(state)
+    state.suspicion_ends_s.setdefault(member.address, ends_s)
+
+
+def _dispute(state: MembershipState, told: Member) -> None:
+    """Tell again what outdated news shows that others don't know."""
+    known = state.members[told.address]
+    if told.incarnation < known.incarnation:
+        state.disputed.add(told.address)
+    is_denied = told.standing is not Standing.DEAD
+    if known.standing is Standing.DEAD and is_denied:
+        state.news.add(told.address)
+
+
+def _is_newer(state: MembershipState, member: Member) -> bool:
+    known = state.members.get(member.address)
+    return known is None or _precedence(member) > _precedence(known)
+
+
+def _precedence(member: Member) -> _Precedence:
+    # The names decide only between entries that should not both exist, so
+    # that every node keeps the same one.
+    return _Precedence(
+        member.incarnation,
+        member.standing.value,
+        member.service,
+        member.region,
+        member.availability_zone,
+    )
--- a/carobmoor/membership/_messages.py
+++ b/carobmoor/membership/_messages.py
@@ -16,6 +16,13 @@
     DEAD = 3
 
 
+class Zone(NamedTuple):
+    """One availability zone of a region."""
+
+    region: str
+    availability_zone: str
+
+
 class Member(NamedTuple):
     """One node and the backend server beside it."""
 
@@ -28,10 +35,65 @@
     incarnation: int
     standing: Standing
 
+    @property
+    def zone(self) -> Zone:
+        """The availability zone with its region."""
+        return Zone(self.region, self.availability_zone)
+
+
+class Kind(enum.IntEnum):
+    """What a datagram asks for."""
+
+    # Answer with an `ACK` of the same number.
+    PROBE = 0
+    ACK = 1
+    # Probe `target` and pass its `ACK` on, or send a `NACK`.
+    ASK = 2
+    NACK = 3
+    # Carries news only.
+    NEWS = 4
+
+
+class Datagram(NamedTuple):
+    """One message between nodes; written as a JSON array."""
+
+    kind: Kind
+    # Matches an answer to its probe; chosen by the prober.
+    number: int
+    # The sender as `ip:port`.
+    sender: str
+    # The member to probe in an `ASK`, else empty.
+    target: str
+    # The configuration version in force at the sender.
+    version: int
+    news: Sequence[Member] = ()
 
-_decoder: Final = msgspec.json.Decoder(list[Member])
+
+class Outgoing(NamedTuple):
+    """A datagram to send; news is added when it is written."""
+
+    address: str
+    kind: Kind
+    number: int = 0
+    target: str = ''
+
+
+class SyncAnswer(NamedTuple):
+    """The buckets that differed, and their members at the answering node."""
+
+    buckets: Sequence[int]
+    members: Sequence[Member]
+
+
+_members_decoder: Final = msgspec.json.Decoder(list[Member])
+_datagram_decoder: Final = msgspec.json.Decoder(Datagram)
 
 
 def decode_members(body: bytes) -> Sequence[Member]:
     """Read a list of members; raises `msgspec.DecodeError`."""
-    return _decoder.decode(body)
+    return _members_decoder.decode(body)
+
+
+def decode_datagram(body: bytes) -> Datagram:
+    """Read a datagram; raises `msgspec.DecodeError`."""
+    return _datagram_decoder.decode(body)
--- /dev/null
+++ b/carobmoor/membership/_rendezvous.py
@@ -0,0 +1,37 @@
+"""A few nodes per region for a duty, named without asking anybody."""
+
+import heapq
+from collections.abc import Iterator
+from typing import Final
+
+import xxhash
+
+from carobmoor.membership._messages import Member, Standing
+from carobmoor.membership._state import MembershipState
+
+_SERVING: Final = frozenset((Standing.ALIVE, Standing.SUSPECT))
+
+
+def is_chosen(state: MembershipState, duty: str, count: int) -> bool:
+    """Tell whether this node is among the `count` of its region for a duty.
+
+    Nodes that disagree on the members may choose a few more or fewer, which
+    is harmless for duties whose writes are conditional.
+    """
+
+    def weight(address: str) -> int:
+        return xxhash.xxh64_intdigest(f'{duty} {address}'.encode())
+
+    chosen = heapq.nsmallest(count, _region_of(state), key=weight)
+    return state.me.address in chosen
+
+
+def _region_of(state: MembershipState) -> Iterator[str]:
+    region = state.me.region
+    for address, member in state.members.items():
+        if member.region == region and _may_serve(state, member):
+            yield address
+
+
+def _may_serve(state: MembershipState, member: Member) -> bool:
+    return member.standing in _SERVING and state.is_reachable(member)
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -1,31 +1,137 @@
-"""First contact: a few rows per region in the table service."""
+"""First contact: a few rows per region in the table service.
 
+Nobody owns a row. A row is stale when its node is not a living member; a few
+nodes per region, named by rendezvous hashing, look at the rows now and then
+and put themselves in place of a stale one by a conditional write.
+"""
+
+import asyncio
+import random
 from collections.abc import Sequence
 from typing import Final
 
 from result import Err
 
-from carobmoor.platform import Platform
+from carobmoor.membership._gossip import Gossip
+from carobmoor.membership._jitter import jitter
+from carobmoor.membership._messages import Member, Standing
+from carobmoor.membership._rendezvous import is_chosen
+from carobmoor.membership._state import MembershipState
+from carobmoor.platform import Platform, Row
 from carobmoor.transport import Address, parse_address
 
 _TABLE: Final = 'seeds'
 _SLOTS_PER_REGION: Final = 3
+_KEEPERS_PER_REGION: Final = 2
+_JOIN_INTERVAL_S: Final = 0.5
+_MOST_JOIN_INTERVAL_S: Final = 10
+_LOOK_INTERVAL_S: Final = 10
 
 
-async def announce(platform: Platform, region: str, address: Address) -> bool:
-    """Take a free seed row of the region; tell whether one was taken."""
-    content = str(address).encode()
-    for slot in range(_SLOTS_PER_REGION):
-        key = f'{region}/{slot}'
-        written = await platform.put_row(_TABLE, key, content, '')
-        if written.is_ok():
+async def join(
+    gossip: Gossip,
+    platform: Platform,
+    peers: Sequence[Address],
+    rng: random.Random,
+) -> None:
+    """Meet other nodes through the settings' peers and the seed rows.
+
+    With the store down the peers suffice; without either it goes on trying.
+    It also starts over when this node has lost sight of all others.
+    """
+    wait_s = _JOIN_INTERVAL_S
+    while True:
+        if gossip.state.others():
+            wait_s = _JOIN_INTERVAL_S
+        else:
+            await _try_to_join(gossip, platform, peers)
+            wait_s = min(2 * wait_s, _MOST_JOIN_INTERVAL_S)
+        await asyncio.sleep(wait_s * jitter(rng))
+
+
+async def keep_seeds(
+    gossip: Gossip,
+    platform: Platform,
+    rng: random.Random,
+) -> None:
+    """Look after the seed rows for as long as this node is chosen to."""
+    while True:
+        await asyncio.sleep(_LOOK_INTERVAL_S * jitter(rng))
+        if is_chosen(gossip.state, _TABLE, _KEEPERS_PER_REGION):
+            await look_once(gossip, platform)
+
+
+async def look_once(gossip: Gossip, platform: Platform) -> None:
+    """Replace stale rows of this region and meet seeds not known here.
+
+    Meeting them joins groups of nodes that have lost sight of each other.
+    """
+    rows = await _read_rows(platform)
+    if rows is None:
+        return
+    await _take_stale(gossip.state, platform, rows, is_alone=False)
+    for row in rows:
+        if _is_stranger(gossip.state, row):
+            await gossip.exchange(_seed_of(row))
+
+
+async def _try_to_join(
+    gossip: Gossip,
+    platform: Platform,
+    peers: Sequence[Address],
+) -> None:
+    met = await _meet_any(gossip, peers)
+    rows = await _read_rows(platform)
+    if met or rows is None:
+        return
+    met = await _meet_any(gossip, [_seed_of(row) for row in rows])
+    await _take_stale(gossip.state, platform, rows, is_alone=not met)
+
+
+async def _meet_any(gossip: Gossip, addresses: Sequence[Address]) -> bool:
+    here = gossip.state.me.address
+    for address in addresses:
+        if str(address) != here and await gossip.exchange(address):
             return True
     return False
 
 
-async def read_seeds(platform: Platform) -> Sequence[Address]:
-    """Read the seeds of every region; none when the store is down."""
+async def _read_rows(platform: Platform) -> Sequence[Row] | None:
     listed = await platform.list_rows(_TABLE, '')
-    if isinstance(listed, Err):
-        return ()
-    return [parse_address(row.content.decode()) for row in listed.ok_value]
+    return None if isinstance(listed, Err) else listed.ok_value
+
+
+async def _take_stale(
+    state: MembershipState,
+    platform: Platform,
+    rows: Sequence[Row],
+    is_alone: bool,
+) -> None:
+    """Put this node into one free or stale row of its region."""
+    content = state.me.address.encode()
+    is_held = any(row.content == content for row in rows)
+    if is_held or state.me.standing is not Standing.ALIVE:
+        return
+    by_key = {row.key: row for row in rows}
+    for slot in range(_SLOTS_PER_REGION):
+        key = f'{state.me.region}/{slot}'
+        row = by_key.get(key)
+        if row is None or is_alone or _is_stale(state, row):
+            etag = '' if row is None else row.etag
+            written = await platform.put_row(_TABLE, key, content, etag)
+            if written.is_ok():
+                return
+
+
+def _is_stale(state: MembershipState, row: Row) -> bool:
+    member = state.members.get(row.content.decode())
+    return member is None or member.standing is not Standing.ALIVE
+
+
+def _is_stranger(state: MembershipState, row: Row) -> bool:
+    member: Member | None = state.members.get(row.content.decode())
+    return member is None or not state.is_reachable(member)
+
+
+def _seed_of(row: Row) -> Address:
+    return parse_address(row.content.decode())
--- /dev/null
+++ b/carobmoor/membership/_socket.py
@@ -0,0 +1,83 @@
+"""The datagram socket of a node: signed JSON arrays."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from carobmoor.membership._messages import Datagram, decode_datagram
+from carobmoor.membership._signing import seal, unseal
+from carobmoor.transport import parse_address
+
+
+class Traffic:
+    """What a node's control datagrams cost."""
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+        # Datagrams with a wrong tag or malformed.
+        self.refused = 0
+
+
+class DatagramSocket(asyncio.DatagramProtocol):
+    """Seals what it sends and hands on what is in order."""
+
+    def __init__(
+        self,
+        cluster_key: bytes,
+        on_datagram: Callable[[Datagram], None],
+    ) -> None:
+        """Start closed; nothing is sent before `open`."""
+        self.traffic = Traffic()
+        self._cluster_key = cluster_key
+        self._on_datagram = on_datagram
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, address: str) -> None:
+        """Bind to an address given as `ip:port`."""
+        loop = asyncio.get_running_loop()
+        here = parse_address(address)
+        await loop.create_datagram_endpoint(lambda: self, local_addr=here)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the socket that the loop made."""
+        self._transport = transport
+
+    def datagram_received(self, sealed: bytes, _: Any) -> None:
+        """Hand on a datagram; one that is not in order changes nothing."""
+        self.traffic.received += 1
+        self.traffic.received_bytes += len(sealed)
+        datagram = self._unseal(sealed)
+        if datagram is None:
+            self.traffic.refused += 1
+        else:
+            self._on_datagram(datagram)
+
+    def send(self, address: str, datagram: Datagram) -> None:
+        """Send a datagram; it may get lost."""
+        if self._transport is None:
+            return
+        sealed = seal(self._cluster_key, msgspec.json.encode(datagram))
+        self.traffic.sent += 1
+        self.traffic.sent_bytes += len(sealed)
+        self._transport.sendto(sealed, parse_address(address))
+
+    def _unseal(self, sealed: bytes) -> Datagram | None:
+        body = unseal(self._cluster_key, sealed)
+        if body is None:
+            return None
+        try:
+            return decode_datagram(body)
+        except msgspec.DecodeError:
+            return None
--- a/carobmoor/membership/_state.py
+++ b/carobmoor/membership/_state.py
@@ -1,23 +1,64 @@
 """What one node knows of all nodes."""
 
-from collections.abc import Callable, Sequence
+import sys
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
 
-from carobmoor.membership._messages import Member, Standing
+from carobmoor.membership._digest import BUCKETS, bucket_of, member_digest
+from carobmoor.membership._messages import Member, Standing, Zone
+from carobmoor.membership._news import NewsQueue
+
+
+class ZoneState:
+    """How far an availability zone answers this node."""
+
+    def __init__(self) -> None:
+        """Start reachable."""
+        self.members: dict[str, None] = {}
+        self.heard_at_s = float(0)
+        # Probes that failed since anything was heard from the zone.
+        self.failures = 0
+        # Members whose probes failed while the zone was not heard from.
+        self.accused: set[str] = set()
+        self.unreachable_since_s: float | None = None
 
 
 class MembershipState:
-    """The members by address, this node's own entry among them."""
+    """The members by address, this node's own entry among them.
+
+    Indexes by service and by availability zone and the bucket digests are
+    kept up with every change.
+    """
 
     def __init__(
         self,
         me: Member,
-        on_change: Callable[[Member], None],
+        on_change: Callable[[str], None],
     ) -> None:
-        """Start by knowing only this node; `on_change` hears of all news."""
+        """Start by knowing only this node.
+
+        `on_change` is called with the service of each member that changed.
+        """
         self.me = me
-        self.members: dict[str, Member] = {me.address: me}
-        self.changed_at_s: dict[str, float] = {}
+        self.members: dict[str, Member] = {}
+        self.services: defaultdict[str, dict[str, None]] = defaultdict(dict)
+        self.zones: defaultdict[Zone, ZoneState] = defaultdict(ZoneState)
+        self.digests = list(bytes(BUCKETS))
+        self.news = NewsQueue()
+        # When a suspicion becomes a death, by address.
+        self.suspicion_ends_s: dict[str, float] = {}
+        self.dead_since_s: dict[str, float] = {}
+        # Members that should hear what is known of them.
+        self.disputed: set[str] = set()
         self.on_change = on_change
+        # Rises with every change of the members.
+        self.changes = 0
+        self.keep(me, 0)
+
+    @property
+    def alive_count(self) -> int:
+        """How many members are not dead, this node included."""
+        return len(self.members) - len(self.dead_since_s)
 
     def others(self) -> Sequence[Member]:
         """Give the other members that are not dead."""
@@ -28,8 +69,65 @@
             and member.standing is not Standing.DEAD
         ]
 
+    def of_service(self, service: str) -> Sequence[Member]:
+        """Give the members of one service, the dead among them."""
+        addresses = self.services.get(service, ())
+        return [self.members[address] for address in addresses]
+
+    def is_reachable(self, member: Member) -> bool:
+        """Tell whether the member's availability zone answers this node."""
+        zone = self.zones.get(member.zone)
+        return zone is None or zone.unreachable_since_s is None
+
     def keep(self, member: Member, now_s: float) -> None:
-        """Keep the news of one member."""
-        self.members[member.address] = member
-        self.changed_at_s[member.address] = now_s
-        self.on_change(member)
+        """Keep the news of one member and pass it on."""
+        member = member._replace(
+            service=sys.intern(member.service),
+            region=sys.intern(member.region),
+            availability_zone=sys.intern(member.availability_zone),
+        )
+        self._unindex(self.members.get(member.address))
+        self._index(member, now_s)
+        if member.standing is not Standing.SUSPECT:
+            self.suspicion_ends_s.pop(member.address, None)
+        self.disputed.discard(member.address)
+        self.news.add(member.address)
+        self.changes += 1
+        self.on_change(member.service)
+
+    def forget(self, address: str) -> None:
+        """Drop a member and everything about it."""
+        member = self.members.get(address)
+        if member is not None:
+            self._unindex(member)
+            self.members.pop(address)
+            self.changes += 1
+            self.on_change(member.service)
+
+    def tell_services(self, addresses: Iterable[str]) -> None:
+        """Report the services of members whose reachability changed."""
+        self.changes += 1
+        services = {self.members[known].service for known in addresses}
+        for service in services:
+            self.on_change(service)
+
+    def _index(self, member: Member, now_s: float) -> None:
+        address = member.address
+        self.members[address] = member
+        self.services[member.service][address] = None
+        self.digests[bucket_of(address)] ^= member_digest(member)
+        if member.standing is Standing.DEAD:
+            self.dead_since_s[address] = now_s
+        else:
+            self.zones[member.zone].members[address] = None
+
+    def _unindex(self, member: Member | None) -> None:
+        if member is None:
+            return
+        address = member.address
+        self.digests[bucket_of(address)] ^= member_digest(member)
+        self.services[member.service].pop(address, None)
+        if not self.services[member.service]:
+            self.services.pop(member.service)
+        self.zones[member.zone].members.pop(address, None)
+        self.dead_since_s.pop(address, None)
--- /dev/null
+++ b/carobmoor/membership/_sync.py
@@ -0,0 +1,149 @@
+"""Anti-entropy over HTTP: compare digests, exchange what differs."""
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+from result import Err
+
+from carobmoor.membership._digest import bucket_of, differing
+from carobmoor.membership._merge import corrections, merge
+from carobmoor.membership._messages import (
+    Member,
+    Standing,
+    SyncAnswer,
+    decode_members,
+)
+from carobmoor.membership._signing import sign
+from carobmoor.membership._state import MembershipState
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    OutgoingRequest,
+    request_json,
+)
+
+SIGNATURE_HEADER: Final = b'x-carobmoor-signature'
+_TIMEOUT_S: Final = 5
+_DIGESTS_TARGET: Final = '/_carobmoor/gossip/digests'
+_MEMBERS_TARGET: Final = '/_carobmoor/gossip/members'
+_OK: Final = 200
+
+
+class Peers:
+    """Signed calls to other nodes' control paths."""
+
+    def __init__(self, pool: ConnectionPool, cluster_key: bytes) -> None:
+        """Use the pool for calls, signed with the cluster's key."""
+        self._pool = pool
+        self._cluster_key = cluster_key
+
+    async def post(
+        self,
+        address: Address,
+        target: str,
+        body: bytes,
+    ) -> bytes | None:
+        """Send a signed body; gives the answer's, or `None` without one."""
+        tag = sign(self._cluster_key, body).hex().encode()
+        headers = (
+            (b'content-type', b'application/json'),
+            (SIGNATURE_HEADER, tag),
+        )
+        request = OutgoingRequest('POST', target, headers, body)
+        told = await request_json(self._pool, address, request, _TIMEOUT_S)
+        if isinstance(told, Err) or told.ok_value.head.status != _OK:
+            return None
+        return told.ok_value.body
+
+
+async def synchronise(
+    state: MembershipState,
+    peers: Peers,
+    address: Address,
+    now_s: float,
+) -> bool:
+    """Make this node and another know the same; tell whether it answered.
+
+    Only buckets that differ are sent. The dead are told only to a node that
+    holds them for something else, so that forgotten ones don't circulate.
+    """
+    asked = msgspec.json.encode(state.digests)
+    answered = await peers.post(address, _DIGESTS_TARGET, asked)
+    if answered is None:
+        return False
+    try:
+        theirs = msgspec.json.decode(answered, type=SyncAnswer)
+    except msgspec.DecodeError:
+        return False
+    ours = _in_buckets(state, theirs.buckets)
+    merge(state, theirs.members, now_s)
+    better = (
+        *_missing(ours, theirs.members),
+        *corrections(state, theirs.members),
+    )
+    return await _tell(state, peers, address, better, now_s)
+
+
+def answer_digests(state: MembershipState, body: bytes) -> bytes:
+    """Answer another node's digests; raises `msgspec.DecodeError`."""
+    theirs = msgspec.json.decode(body, type=list[int])
+    if len(theirs) != len(state.digests):
+        raise msgspec.DecodeError('wrong number of digests')
+    buckets = differing(state.digests, theirs)
+    return msgspec.json.encode(
+        SyncAnswer(buckets, _in_buckets(state, buckets)),
+    )
+
+
+def answer_members(state: MembershipState, body: bytes, now_s: float) -> bytes:
+    """Merge another node's members and answer with what is known better.
+
+    Raises `msgspec.DecodeError`.
+    """
+    told = decode_members(body)
+    better = corrections(state, told)
+    merge(state, told, now_s)
+    return msgspec.json.encode(better)
+
+
+async def _tell(
+    state: MembershipState,
+    peers: Peers,
+    address: Address,
+    members: Sequence[Member],
+    now_s: float,
+) -> bool:
+    if not members:
+        return True
+    body = msgspec.json.encode(members)
+    answered = await peers.post(address, _MEMBERS_TARGET, body)
+    if answered is None:
+        return False
+    try:
+        merge(state, decode_members(answered), now_s)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
+def _in_buckets(
+    state: MembershipState,
+    buckets: Sequence[int],
+) -> Sequence[Member]:
+    wanted = frozenset(buckets)
+    if not wanted:
+        return ()
+    return [
+        member
+        for address, member in state.members.items()
+        if member.standing is not Standing.DEAD and bucket_of(address) in wanted
+    ]
+
+
+def _missing(
+    ours: Sequence[Member],
+    theirs: Sequence[Member],
+) -> Sequence[Member]:
+    known = {member.address for member in theirs}
+    return [member for member in ours if member.address not in known]
--- /dev/null
+++ b/carobmoor/membership/_targets.py
@@ -0,0 +1,104 @@
+"""Whom to probe and whom to tell news."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from carobmoor.membership._messages import Member, Standing
+from carobmoor.membership._state import MembershipState
+
+_NEAR_SHARE: Final = 0.75
+
+
+class Ring:
+    """Members in a random order, each once before any comes again."""
+
+    def __init__(self, accepts: Callable[[Member], bool]) -> None:
+        """Walk the members that `accepts` names."""
+        self._accepts = accepts
+        self._order: list[str] = []
+
+    def draw(
+        self,
+        state: MembershipState,
+        rng: random.Random,
+    ) -> Member | None:
+        """Give the next member; `None` when there is no other."""
+        for is_last_try in (False, True):
+            while self._order:
+                member = state.members.get(self._order.pop())
+                if member is not None and self._accepts(member):
+                    return member
+            if not is_last_try:
+                self._refill(state, rng)
+        return None
+
+    def _refill(self, state: MembershipState, rng: random.Random) -> None:
+        self._order = [
+            address
+            for address, member in state.members.items()
+            if self._accepts(member)
+        ]
+        rng.shuffle(self._order)
+
+
+class Targets:
+    """The rings from which one node draws."""
+
+    def __init__(self, state: MembershipState, rng: random.Random) -> None:
+        """Draw from the members of a state."""
+        self._state = state
+        self._rng = rng
+        region = state.me.region
+
+        def is_near(member: Member) -> bool:
+            return member.region == region and self.is_open(member)
+
+        def is_far(member: Member) -> bool:
+            return member.region != region and self.is_open(member)
+
+        def is_lost(member: Member) -> bool:
+            is_dead = member.standing is Standing.DEAD
+            return not is_dead and not state.is_reachable(member)
+
+        self._near = Ring(is_near)
+        self._far = Ring(is_far)
+        self._lost = Ring(is_lost)
+        self._helpers = Ring(is_near)
+
+    def is_open(self, member: Member) -> bool:
+        """Tell whether a member is worth a datagram."""
+        return (
+            member.address != self._state.me.address
+            and member.standing is not Standing.DEAD
+            and self._state.is_reachable(member)
+        )
+
+    def near(self) -> Member | None:
+        """Draw a member of this node's region."""
+        return self._near.draw(self._state, self._rng)
+
+    def far(self) -> Member | None:
+        """Draw a member of another region."""
+        return self._far.draw(self._state, self._rng)
+
+    def lost(self) -> Member | None:
+        """Draw a member of an unreachable zone."""
+        return self._lost.draw(self._state, self._rng)
+
+    def helper(self) -> Member | None:
+        """Draw a member to probe another with."""
+        return self._helpers.draw(self._state, self._rng)
+
+    def to_tell(self) -> Member | None:
+        """Draw a member for news, mostly of this region."""
+        if self._rng.random() < _NEAR_SHARE:
+            return self._near.draw(self._state, self._rng) or self.far()
+        return self.far() or self.near()
+
+    def of_zone(self, member: Member) -> Member | None:
+        """Draw another member of a member's zone."""
+        addresses = tuple(self._state.zones[member.zone].members)
+        if not addresses:
+            return None
+        return self._state.members[self._rng.choice(addresses)]
--- /dev/null
+++ b/carobmoor/membership/tests/fixtures.py
@@ -0,0 +1,92 @@
+"""Members, states and a stepped clock for the tests of this slice."""
+
+import random
+from collections.abc import Iterable
+
+from carobmoor.membership._messages import Datagram, Member, Standing
+from carobmoor.membership._probe import ProbeState, expire, hear, start_round
+from carobmoor.membership._state import MembershipState
+from carobmoor.membership._targets import Targets
+
+STEP_S = 0.1
+
+
+def member(
+    number: int,
+    zone: str = 'lagos-a',
+    incarnation: int = 1,
+    standing: Standing = Standing.ALIVE,
+) -> Member:
+    """Make a member; the zone names the region before its hyphen."""
+    region = zone.partition('-')[0]
+    address = f'10.0.0.{number}:7000'
+    return Member(address, 'bookings', region, zone, incarnation, standing)
+
+
+def state_of(me: Member, others: Iterable[Member] = ()) -> MembershipState:
+    """Make the state of a node that knows the others."""
+    state = MembershipState(me, lambda service: None)
+    for other in others:
+        state.keep(other, 0)
+    return state
+
+
+def _nothing_is_cut(sender_zone: str, receiver_zone: str) -> bool:
+    return False
+
+
+class Wire:
+    """A few nodes under one stepped clock; `cut` decides what is lost."""
+
+    def __init__(self, *members: Member) -> None:
+        """Let all know all."""
+        self.now_s = float(100)
+        self.probes: dict[str, ProbeState] = {}
+        self.dead: set[str] = set()
+        self.cut = _nothing_is_cut
+        for number, me in enumerate(members):
+            state = state_of(me, [other for other in members if other != me])
+            targets = Targets(state, random.Random(number))
+            self.probes[me.address] = ProbeState(state, targets)
+
+    def state(self, of: Member) -> MembershipState:
+        """Give the state of one node."""
+        return self.probes[of.address].members
+
+    def standing(self, at: Member, of: Member) -> Standing:
+        """Tell how one node sees another."""
+        return self.state(at).members[of.address].standing
+
+    def run(self, seconds: float) -> None:
+        """Step the clock; each node probes once a second."""
+        for step in range(round(seconds / STEP_S)):
+            self.now_s += STEP_S
+            for address, probes in self.probes.items():
+                if address in self.dead:
+                    continue
+                self._send(address, expire(probes, self.now_s))
+                if step % 10 == 0:
+                    self._send(address, start_round(probes, self.now_s))
+
+    def _send(self, sender: str, outgoing) -> None:
+        for message in outgoing:
+            receiver = message.address
+            zones = (self._zone(sender), self._zone(receiver))
+            if receiver in self.dead or self.cut(*zones):
+                continue
+            state = self.probes[sender].members
+            about = state.members[receiver]
+            datagram = Datagram(
+                message.kind,
+                message.number,
+                sender,
+                message.target,
+                0,
+                (about, *state.news.pick(state.members, 8)),
+            )
+            heard = hear(self.probes[receiver], datagram, self.now_s)
+            self._send(receiver, heard)
+
+    def _zone(self, address: str) -> str:
+        me = self.probes[address].members.me
+        return me.availability_zone
--- /dev/null
+++ b/carobmoor/membership/tests/test_probe.py
@@ -0,0 +1,120 @@
+"""Probing, suspicion and vanished zones under a stepped clock."""
+
+from nose2.tools import params
+
+from carobmoor.membership._merge import suspect, suspicion_time_s
+from carobmoor.membership._messages import Standing
+from carobmoor.membership._probe import note_pause, start_round
+from carobmoor.membership.tests.fixtures import Wire, member, state_of
+
+A = tuple(member(number, 'lagos-a') for number in range(4))
+B = tuple(member(number, 'lagos-b') for number in range(10, 14))
+C = tuple(member(number, 'abuja-a') for number in range(20, 24))
+ALL = (*A, *B, *C)
+
+
+def standings(wire, observers, observed):
+    """Collect how some nodes see others."""
+    return {
+        wire.standing(at, of) for at in observers for of in observed if at != of
+    }
+
+
+def test_quiet_fleet_suspects_nobody():
+    """Without faults everybody stays alive to everybody."""
+    wire = Wire(*ALL)
+    wire.run(30)
+    assert standings(wire, ALL, ALL) == {Standing.ALIVE}
+
+
+@params((A[1],), (B[1],), (C[1],))
+def test_death_is_seen_everywhere(victim):
+    """One death is known to every node, and nobody else is blamed."""
+    wire = Wire(*ALL)
+    wire.run(2)
+    wire.dead.add(victim.address)
+    wire.run(40)
+    living = [each for each in ALL if each != victim]
+    assert standings(wire, living, [victim]) == {Standing.DEAD}
+    assert standings(wire, living, living) == {Standing.ALIVE}
+
+
+def test_lost_path_is_bridged_by_helpers():
+    """Two nodes that don't reach each other stay alive through a third."""
+    wire = Wire(A[0], A[1], B[0])
+    wire.cut = lambda *zones: set(zones) == {'lagos-a'}
+    wire.run(40)
+    assert wire.standing(A[0], A[1]) is Standing.ALIVE
+    assert wire.standing(A[1], A[0]) is Standing.ALIVE
+
+
+def test_rack_is_dead_without_false_deaths():
+    """Half of a zone lost at once is dead; the others are not."""
+    wire = Wire(*ALL)
+    wire.run(2)
+    lost, living = B[:2], (*A, *B[2:], *C)
+    wire.dead.update(each.address for each in lost)
+    wire.run(60)
+    assert standings(wire, living, lost) == {Standing.DEAD}
+    assert standings(wire, living, living) == {Standing.ALIVE}
+
+
+@params((B,), (C,))
+def test_vanished_zone_is_kept(lost):
+    """A zone that vanishes whole is unreachable; its members are kept."""
+    wire = Wire(*ALL)
+    wire.run(2)
+    wire.dead.update(each.address for each in lost)
+    wire.run(90)
+    living = [each for each in ALL if each not in lost]
+    assert Standing.DEAD not in standings(wire, living, ALL)
+    assert standings(wire, living, living) == {Standing.ALIVE}
+    for at in living:
+        reachable = [wire.state(at).is_reachable(of) for of in lost]
+        assert not any(reachable)
+
+
+def test_cut_region_converges_on_return():
+    """After a cut each side sees the other alive again."""
+    wire = Wire(*ALL)
+    wire.run(2)
+    wire.cut = lambda *zones: len({zone[:5] for zone in zones}) > 1
+    wire.run(90)
+    assert not wire.state(A[0]).is_reachable(C[0])
+    assert Standing.DEAD not in standings(wire, ALL, ALL)
+    wire.cut = lambda *zones: False
+    wire.run(60)
+    assert standings(wire, ALL, ALL) == {Standing.ALIVE}
+    assert all(wire.state(at).is_reachable(of) for at in ALL for of in ALL)
+
+
+def test_isolated_node_blames_nobody():
+    """A node that hears nobody is itself the one that is cut off."""
+    wire = Wire(*A)
+    wire.run(2)
+    wire.dead.update(each.address for each in A[1:])
+    wire.run(60)
+    seen = standings(wire, A[:1], A[1:])
+    assert Standing.DEAD not in seen
+
+
+def test_pause_judges_nobody():
+    """A node that stood still drops its probes and waits longer."""
+    wire = Wire(*A)
+    probes = wire.probes[A[0].address]
+    start_round(probes, wire.now_s)
+    suspect(probes.members, A[1].address, wire.now_s)
+    before_s = probes.members.suspicion_ends_s[A[1].address]
+    note_pause(probes, 30)
+    assert not probes.pending
+    assert probes.members.suspicion_ends_s[A[1].address] == before_s + 30
+    assert probes.health.factor == 2
+
+
+def test_suspicion_time_grows_with_the_cluster():
+    """Larger clusters give suspects more time to refute."""
+    small = state_of(member(0))
+    large = state_of(member(0))
+    for number in range(1000):
+        large.keep(member(number), 0)
+    assert suspicion_time_s(large) > suspicion_time_s(small)
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -18,6 +18,7 @@
     read_history,
     validate_document,
 )
+from carobmoor.node._peers import route_peers
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, NotRun, encode_failure, http_status_of
 
@@ -58,6 +59,7 @@
     app = Application(show_error_details=False)
     _route_reads(app, node)
     _route_configuration(app, node)
+    route_peers(app, node)
 
     async def drain(request: Request) -> Response:
         operator = _operator_of(node, request)
@@ -74,13 +76,6 @@
     async def status() -> Response:
         return _json(_OK, _status_of(node))
 
-    async def members() -> Response:
-        return _json(_OK, node.gossip.known())
-
-    async def gossip(request: Request) -> Response:
-        node.gossip.hear(await request.read() or b'[]')
-        return _json(_OK, node.gossip.known())
-
     async def metrics() -> Response:
         node.metrics.in_flight.set(node.gate.state.in_flight_total)
         node.metrics.queued.set(node.gate.state.queued_total)
@@ -92,8 +87,6 @@
 
     app.router.add_get(f'{_PREFIX}/burn', burn)
     app.router.add_get(f'{_PREFIX}/status', status)
-    app.router.add_get(f'{_PREFIX}/members', members)
-    app.router.add_post(f'{_PREFIX}/gossip', gossip)
     app.router.add_get(f'{_PREFIX}/metrics', metrics)
 
 
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -7,16 +7,15 @@
 import time
 from typing import Any, Final
 
-from carobmoor.client import Dispatcher, learn_members
+from carobmoor.client import Dispatcher, learn_service
 from carobmoor.configuration import follow
 from carobmoor.membership import (
     Gossip,
     Member,
     MembershipState,
     Standing,
-    announce,
-    declare_self,
-    read_seeds,
+    join,
+    keep_seeds,
 )
 from carobmoor.node._control import make_control_plane
 from carobmoor.node._data_plane import make_data_plane
@@ -31,7 +30,6 @@
 _CONTROL_PREFIX: Final = '/_carobmoor/'
 _DEFAULT_LINGER_MS: Final = 2000
 _DEFAULT_MOST_HEADER_BYTES: Final = 32768
-_JOIN_INTERVAL_S: Final = 0.5
 _MS_PER_S: Final = 1000
 _COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
 _log = logger_for('node')
@@ -61,6 +59,9 @@
     background = [
         asyncio.create_task(follow(node.platform, node.configuration)),
         asyncio.create_task(_join(node)),
+        asyncio.create_task(
+            keep_seeds(node.gossip, node.platform, random.Random()),
+        ),
         asyncio.create_task(node.gossip.run()),
         asyncio.create_task(node.gate.watch()),
     ]
@@ -82,24 +83,18 @@
     """Refuse new work, tell the others, and wait for the running work."""
     await leaving.wait()
     node.gate.is_leaving = True
-    declare_self(node.gossip.state, Standing.LEAVING, time.monotonic())
+    node.gossip.leave()
     _log.info('Node leaves.', in_flight=node.gate.state.in_flight_total)
     linger_ms = node.settings.get('leave_linger_ms', _DEFAULT_LINGER_MS)
     await asyncio.sleep(linger_ms / _MS_PER_S)
     await node.gate.wait_idle()
+    node.gossip.say_farewell()
 
 
 async def _join(node: NodeState) -> None:
     """Meet other nodes through the settings and the table service."""
-    here = Address(**node.settings['listen'])
-    region = node.settings['place']['region']
     peers = [parse_address(peer) for peer in node.settings.get('peers', ())]
-    await announce(node.platform, region, here)
-    while not node.gossip.state.others():
-        for seed in (*peers, *await read_seeds(node.platform)):
-            if seed != here:
-                await node.gossip.exchange(seed)
-        await asyncio.sleep(_JOIN_INTERVAL_S)
+    await join(node.gossip, node.platform, peers, random.Random())
 
 
 def _assemble(settings: Settings) -> NodeState:
@@ -112,7 +107,12 @@
     )
     routing = RoutingState(place['region'], place['availability_zone'])
     rng = random.Random()
-    gossip = Gossip(_membership_of(settings, routing), pool, rng)
+    gossip = Gossip(
+        _membership_of(settings, routing),
+        pool,
+        rng,
+        settings.get('cluster_key', '').encode(),
+    )
     dispatcher = Dispatcher(routing, pool, rng)
     return NodeState(settings, pool, platform, dispatcher, gossip)
 
@@ -131,10 +131,15 @@
         Standing.ALIVE,
     )
 
-    def on_change(_: Member) -> None:
-        learn_members(routing, tuple(state.members.values()))
+    def on_change(service: str) -> None:
+        # The state tells of its own entry before it has a name here.
+        if state is not None:
+            reachable = filter(state.is_reachable, state.of_service(service))
+            learn_service(routing, service, tuple(reachable))
 
+    state: MembershipState | None = None
     state = MembershipState(me, on_change)
+    on_change(me.service)
     return state
 
 
--- /dev/null
+++ b/carobmoor/node/_peers.py
@@ -0,0 +1,98 @@
+"""The control paths that other nodes and the library use."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+import xxhash
+from blacksheep import Application, Content, Request, Response
+
+from carobmoor.membership import (
+    SIGNATURE_HEADER,
+    Member,
+    Standing,
+    answer_digests,
+    answer_members,
+    is_signed,
+)
+from carobmoor.node._state import NodeState
+
+_OK: Final = 200
+_NOT_MODIFIED: Final = 304
+_BAD_REQUEST: Final = 400
+_FORBIDDEN: Final = 403
+_PREFIX: Final = '/_carobmoor'
+_JSON: Final = b'application/json'
+
+PeerPath = Callable[[Request], Awaitable[Response]]
+
+
+def route_peers(app: Application, node: NodeState) -> None:
+    """Serve the members by service, and what nodes ask of each other."""
+
+    async def members(request: Request) -> Response:
+        services = request.query.get('service')
+        return _members_answer(request, _members_of(node, services))
+
+    def digests(body: bytes) -> bytes:
+        return answer_digests(node.gossip.state, body)
+
+    def gossip(body: bytes) -> bytes:
+        return answer_members(node.gossip.state, body, time.monotonic())
+
+    app.router.add_get(f'{_PREFIX}/members', members)
+    for path, answer in (('digests', digests), ('members', gossip)):
+        app.router.add_post(
+            f'{_PREFIX}/gossip/{path}',
+            _signed(node, answer),
+        )
+
+
+def _signed(node: NodeState, answer: Callable[[bytes], bytes]) -> PeerPath:
+    """Answer only bodies that another node of this cluster has signed."""
+    key = node.settings.get('cluster_key', '').encode()
+
+    async def serve(request: Request) -> Response:
+        body = await request.read() or b''
+        given = request.get_first_header(SIGNATURE_HEADER) or b''
+        if not is_signed(key, _tag_of(given), body):
+            return Response(_FORBIDDEN)
+        try:
+            answered = answer(body)
+        except msgspec.DecodeError:
+            return Response(_BAD_REQUEST)
+        return Response(_OK, content=Content(_JSON, answered))
+
+    return serve
+
+
+def _tag_of(given: bytes) -> bytes:
+    try:
+        return bytes.fromhex(given.decode('ascii'))
+    except ValueError:
+        return b'malformed'
+
+
+def _members_of(
+    node: NodeState,
+    services: list[str] | None,
+) -> list[Member]:
+    state = node.gossip.state
+    if services is None:
+        return node.gossip.known()
+    return [
+        member
+        for service in services
+        for member in state.of_service(service)
+        if member.standing is not Standing.DEAD and state.is_reachable(member)
+    ]
+
+
+def _members_answer(request: Request, members: list[Member]) -> Response:
+    encoded = msgspec.json.encode(members)
+    etag = xxhash.xxh64_hexdigest(encoded).encode()
+    headers = [(b'etag', etag)]
+    if request.get_first_header(b'if-none-match') == etag:
+        return Response(_NOT_MODIFIED, headers)
+    return Response(_OK, headers, Content(_JSON, encoded))
--- a/carobmoor/node/_settings.py
+++ b/carobmoor/node/_settings.py
@@ -62,6 +62,8 @@
     platform: PlatformSettings
     # Nodes to meet when the table service can't name any.
     peers: NotRequired[Sequence[Peer]]
+    # Signs what nodes tell each other; the same on all nodes, or absent.
+    cluster_key: NotRequired[Annotated[str, Field(min_length=16)]]
     operators: NotRequired[Sequence[OperatorSettings]]
     log_level: NotRequired[LogLevel]
     # How long a leaving node keeps refusing before it stops.
