Configuration in pieces, told by the membership and settled by submission id

Cause: every node read the head each second (9,300 reads a second at the size in view) and every body whole from the store; a lost answer whose read-back failed was told as a plain failure; the history could miss a version whose writer died; nothing kept a starting node from taking an old version.

Ruled out: a lease for a single writer (the conditional write of the head decides already, and a lease can lapse under a paused holder); whole documents from peers (a document of 1,800 services every 27 s breaks 25 KB/s); reading the head everywhere rarely (misses 7 s).

Change: a document is cut into a common piece and one piece per service, named by a manifest. A node holds the manifest, the common piece, its own service and up to 64 services that it forwards to. Versions travel in every datagram; who is behind asks the teller for the changes, whose small pieces travel with them; larger ones come from peers by digest and last from the store. Two nodes per region read the head each second, the others every ten minutes. Before the first version may be in force a node needs the head, or with the store down three peers in two availability zones. Accepting: history is completed by the next writer, a submission id is accepted once, an unsettled answer is "unknown" with that id, a conflict lists what changed. Rollback and validation only. A breaker keeps calls from a store that is down.

Tests, with what was taken out to see each fail: the id's comparison (lost answers); the look into the history (resubmission); the repair of the history (death of the writer); "unknown" (lost answers); the base check (conflict and racing); ignoring older versions; the gap check; the quorum of tellers (start with the store down); the floor (start below the head); inline pieces (spread without the accepting node); the pollers' choice (few read the store). Across processes: telling versions (change outlives the store), peers from the settings (start while the store is down), confirming deaths (death, leave and return), checking tags (node without the key).

No costs were measured yet.

--- a/carobmoor/cli/_admin.py
+++ b/carobmoor/cli/_admin.py
@@ -4,6 +4,8 @@
 import difflib
 import os
 import sys
+import uuid
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
 
@@ -45,7 +47,14 @@
         """
         print_json(_request(node, _GET, _CONFIGURATION).body)
 
-    def put(self, path: str, node: str, base: int, reason: str) -> None:
+    def put(
+        self,
+        path: str,
+        node: str,
+        base: int,
+        reason: str,
+        submission_id: str = '',
+    ) -> None:
         """Make a document the next version.
 
         Args:
@@ -53,16 +62,50 @@
             node: A node's address as IP:PORT.
             base: The version that the change was made on; 0 for the first.
             reason: Why, for the history.
+            submission_id: The id of an earlier try whose outcome is unknown.
         """
-        document = _read_document(path)
-        body = msgspec.json.encode(
-            {
-                'base_version': base,
-                'reason': reason,
-                'document': document,
-            },
-        )
-        print_json(_request(node, 'PUT', _CONFIGURATION, body).body)
+        submission = {
+            'base_version': base,
+            'reason': reason,
+            'document': _read_document(path),
+            'submission_id': submission_id or uuid.uuid4().hex,
+        }
+        _submit(node, submission)
+
+    def rollback(
+        self,
+        to: int,
+        node: str,
+        base: int,
+        reason: str,
+        submission_id: str = '',
+    ) -> None:
+        """Make the content of an earlier version the next version.
+
+        Args:
+            to: The earlier version.
+            node: A node's address as IP:PORT.
+            base: The version in force, as you have read it.
+            reason: Why, for the history.
+            submission_id: The id of an earlier try whose outcome is unknown.
+        """
+        submission = {
+            'base_version': base,
+            'reason': reason,
+            'rollback_to': to,
+            'submission_id': submission_id or uuid.uuid4().hex,
+        }
+        _submit(node, submission)
+
+    def validate(self, path: str, node: str) -> None:
+        """Check a document as a node would, and change nothing.
+
+        Args:
+            path: The configuration document, JSON with comments.
+            node: A node's address as IP:PORT.
+        """
+        submission = {'document': _read_document(path), 'validate_only': True}
+        _submit(node, submission)
 
     def diff(self, path: str, node: str) -> None:
         """Print how a document differs from the one in force.
@@ -159,6 +202,15 @@
     sys.stdout.buffer.write(b'%b\n' % answer.body)
 
 
+def _submit(node: str, submission: Mapping[str, Any]) -> None:
+    """Send a submission; a lost answer is told with its id."""
+    submission_id = submission.get('submission_id')
+    if submission_id is not None:
+        sys.stderr.write(f'submission id {submission_id}\n')
+    body = msgspec.json.encode(submission)
+    print_json(_request(node, 'PUT', _CONFIGURATION, body).body)
+
+
 def _request(
     node: str,
     method: str,
--- a/carobmoor/configuration/__init__.py
+++ b/carobmoor/configuration/__init__.py
@@ -1,6 +1,11 @@
 """The configuration document: its shape, its acceptance and its spreading."""
 
 from carobmoor.configuration._check import Fault, check_document, read_commented
+from carobmoor.configuration._collect import (
+    PIECES_TARGET,
+    Fleet,
+    answer_pieces,
+)
 from carobmoor.configuration._document import (
     Document,
     RankDocument,
@@ -10,33 +15,59 @@
     objectives_of,
     validate_document,
 )
-from carobmoor.configuration._follow import ConfigurationState, follow
+from carobmoor.configuration._follow import (
+    SINCE_TARGET,
+    Follower,
+    Teller,
+    answer_since,
+)
 from carobmoor.configuration._publish import (
-    Accepted,
     Conflict,
-    Head,
+    OutcomeUnknown,
+    Published,
     Submission,
-    load_accepted,
+    load_version,
     publish,
+)
+from carobmoor.configuration._state import (
+    ConfigurationState,
+    Snapshot,
+    make_change,
+)
+from carobmoor.configuration._store import (
+    Accepted,
+    Head,
+    load_document,
     read_head,
     read_history,
 )
 
 __all__ = [
+    'PIECES_TARGET',
+    'SINCE_TARGET',
     'Accepted',
     'ConfigurationState',
     'Conflict',
     'Document',
     'Fault',
+    'Fleet',
+    'Follower',
     'Head',
+    'OutcomeUnknown',
+    'Published',
     'RankDocument',
     'ServiceDocument',
+    'Snapshot',
     'Submission',
+    'Teller',
     'admission_policy_of',
+    'answer_pieces',
+    'answer_since',
     'check_document',
     'document_schema',
-    'follow',
-    'load_accepted',
+    'load_document',
+    'load_version',
+    'make_change',
     'objectives_of',
     'publish',
     'read_commented',
--- /dev/null
+++ b/carobmoor/configuration/_collect.py
@@ -0,0 +1,137 @@
+"""Finding pieces by digest: here, at other nodes, last in the store."""
+
+import random
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from typing import Final, NamedTuple
+
+import msgspec
+
+from carobmoor.configuration._pieces import changed_services, digest_of
+from carobmoor.configuration._state import (
+    Change,
+    ConfigurationState,
+    Snapshot,
+    make_change,
+)
+from carobmoor.configuration._store import load_piece
+from carobmoor.platform import Platform
+
+PIECES_TARGET: Final = '/_carobmoor/configuration/pieces'
+_MOST_SOURCES: Final = 4
+_MOST_INLINE_READS: Final = 16
+
+# Posts a body to a path of a node given as `ip:port`.
+Ask = Callable[[str, str, bytes], Awaitable[bytes | None]]
+
+
+class Fleet(NamedTuple):
+    """What following needs to know of the other nodes."""
+
+    ask: Ask
+    # The addresses of the living nodes of a service.
+    of_service: Callable[[str], Sequence[str]]
+    # Whether this node is one of the few that poll the store often.
+    is_poller: Callable[[], bool]
+    # How many other nodes and how many availability zones are known.
+    count_others: Callable[[], int]
+    count_zones: Callable[[], int]
+
+
+class Collector:
+    """Collects pieces for one node."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        state: ConfigurationState,
+        fleet: Fleet,
+        rng: random.Random,
+    ) -> None:
+        """Bind the state to the other nodes and to the store."""
+        self._platform = platform
+        self._state = state
+        self._fleet = fleet
+        self._rng = rng
+
+    def sources(self, service: str, first: Sequence[str]) -> Sequence[str]:
+        """Name nodes to ask: the given ones, then some of the service."""
+        others = list(self._fleet.of_service(service))
+        self._rng.shuffle(others)
+        return [*filter(None, first), *others[:_MOST_SOURCES]]
+
+    async def describe(self, snapshot: Snapshot) -> Sequence[Change]:
+        """Describe the next version for others; none when some are missed."""
+        if snapshot.head.version != self._state.version + 1:
+            return ()
+        new = snapshot.manifest
+        changed = changed_services(self._state.manifest, new)
+        digests = [new.common, *filter(None, changed.values())]
+        if len(digests) > _MOST_INLINE_READS:
+            texts: Mapping[str, str] = {}
+        else:
+            texts = await self.collect(digests, ())
+        return [make_change(snapshot.head, new, changed, texts, '')]
+
+    async def collect(
+        self,
+        digests: Sequence[str],
+        sources: Iterable[str],
+    ) -> Mapping[str, str]:
+        """Find what can be found; each source is asked for what is missing."""
+        found = self._at_hand(digests)
+        for source in sources:
+            missing = _missing(digests, found)
+            if not missing:
+                break
+            found.update(await self._ask_for(source, missing))
+        for digest in _missing(digests, found):
+            text = await load_piece(self._platform, digest)
+            if text is not None:
+                found[digest] = text
+        return found
+
+    def _at_hand(self, digests: Sequence[str]) -> dict[str, str]:
+        texts = {digest: self._state.text_of(digest) for digest in digests}
+        return {
+            digest: text for digest, text in texts.items() if text is not None
+        }
+
+    async def _ask_for(
+        self,
+        source: str,
+        digests: Sequence[str],
+    ) -> Mapping[str, str]:
+        asked = msgspec.json.encode(digests)
+        answered = await self._fleet.ask(source, PIECES_TARGET, asked)
+        if answered is None:
+            return {}
+        try:
+            texts = msgspec.json.decode(answered, type=dict[str, str])
+        except msgspec.DecodeError:
+            return {}
+        return checked(texts)
+
+
+def checked(texts: Mapping[str, str]) -> Mapping[str, str]:
+    """Keep the pieces that are what their digests say."""
+    return {
+        digest: text
+        for digest, text in texts.items()
+        if digest_of(text) == digest
+    }
+
+
+def answer_pieces(state: ConfigurationState, body: bytes) -> bytes:
+    """Give the pieces at hand by digest; raises `msgspec.DecodeError`."""
+    digests = msgspec.json.decode(body, type=list[str])
+    texts = {digest: state.text_of(digest) for digest in digests}
+    return msgspec.json.encode(
+        {digest: text for digest, text in texts.items() if text is not None},
+    )
+
+
+def _missing(
+    digests: Sequence[str],
+    found: Mapping[str, str],
+) -> Sequence[str]:
+    return [digest for digest in digests if digest not in found]
--- /dev/null
+++ b/carobmoor/configuration/_differences.py
@@ -0,0 +1,46 @@
+"""What differs between two documents, by rank and by service."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+from carobmoor.configuration._document import Document
+
+_ABSENT: Final = 'absent'
+
+
+class Difference(NamedTuple):
+    """One field that differs, with both contents as text."""
+
+    path: str
+    before: str
+    after: str
+
+    def __str__(self) -> str:
+        """Write the difference in a line for an operator."""
+        return f'{self.path}: {self.before} -> {self.after}'
+
+
+def differences(before: Document, after: Document) -> Sequence[Difference]:
+    """List the fields that differ between two documents."""
+    return list(_compare('$', _named(before), _named(after)))
+
+
+def _named(document: Document) -> Mapping[str, Any]:
+    ranks = {rank['name']: rank for rank in document['ranks']}
+    return {**document, 'ranks': ranks}
+
+
+def _compare(path: str, before: Any, after: Any) -> Iterator[Difference]:
+    if isinstance(before, Mapping) and isinstance(after, Mapping):
+        for name in sorted(before.keys() | after.keys()):
+            yield from _compare(
+                f'{path}.{name}',
+                before.get(name, _ABSENT),
+                after.get(name, _ABSENT),
+            )
+    elif before != after:
+        yield Difference(path, _brief(before), _brief(after))
+
+
+def _brief(content: Any) -> str:
+    return 'present' if isinstance(content, Mapping) else str(content)
--- a/carobmoor/configuration/_publish.py
+++ b/carobmoor/configuration/_publish.py
@@ -1,45 +1,65 @@
-"""Accepting a configuration: the body by digest, then the head by version."""
+"""Accepting a configuration: the bodies by digest, then the head.
 
-import uuid
-from collections.abc import Sequence
+The one decision is the conditional write of the head row; there is no lease.
+A submission id makes accepting idempotent: whoever does not know the outcome
+submits again with the same id.
+"""
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-import msgspec
-import xxhash
 from result import Err, Ok, Result
 
+from carobmoor.configuration._differences import Difference, differences
 from carobmoor.configuration._document import Document
-from carobmoor.platform import Platform, Row, StoreFailure
-
-_TABLE: Final = 'configuration'
-_HEAD_KEY: Final = 'head'
-_BUCKET: Final = 'configuration'
-
-
-class Head(NamedTuple):
-    """The head row: the version in force and who made it so."""
+from carobmoor.configuration._pieces import (
+    Manifest,
+    Pieces,
+    changed_services,
+    digest_of,
+    encode_document,
+    split,
+)
+from carobmoor.configuration._store import (
+    EMPTY,
+    Head,
+    HeadRow,
+    load_document,
+    load_manifest,
+    read_head,
+    read_version,
+    store_bodies,
+    write_head,
+    write_history,
+)
+from carobmoor.platform import Platform, StoreFailure, jitter
+
+_SETTLE_TRIES: Final = 4
+_SETTLE_WAIT_S: Final = 0.3
+_rng: Final = random.Random()
 
-    version: int
-    digest: str
-    submission_id: str
-    operator: str
-    reason: str
 
+class Conflict(NamedTuple):
+    """Another operator was first; `current` is the head they made."""
 
-class Accepted(NamedTuple):
-    """An accepted configuration with its body."""
+    current: Head | None
+    # What they changed since the version that the submission was based on.
+    differences: Sequence[Difference] = ()
 
-    head: Head
-    document: Document
 
+class OutcomeUnknown(NamedTuple):
+    """The store does not tell whether the submission was accepted.
 
-class Conflict(NamedTuple):
-    """Another operator was first; `current` is the head they made."""
+    Submitting again with the same id is safe and settles it.
+    """
 
-    current: Head | None
+    submission_id: str
+    failure: StoreFailure
 
 
-PublishFailure = Conflict | StoreFailure
+PublishFailure = Conflict | OutcomeUnknown | StoreFailure
 
 
 class Submission(NamedTuple):
@@ -49,104 +69,180 @@
     base_version: int
     operator: str
     reason: str
+    # Chosen by the operator's side, so that it can ask again.
+    submission_id: str
+
+
+class Published(NamedTuple):
+    """An accepted version, and what the others need to put it in force."""
+
+    head: Head
+    pieces: Pieces
+    # New digests by service; empty where a service was removed.
+    changed: Mapping[str, str]
 
 
 async def publish(
     platform: Platform,
     submission: Submission,
-) -> Result[Head, PublishFailure]:
+) -> Result[Published, PublishFailure]:
     """Make a document the next version, or tell why not.
 
-    The body is stored under its digest first, so that a head never names a
-    body that isn't there. An answer lost on the way is settled by reading
-    the head back and comparing the submission id.
+    Bodies are stored first, so that a head never names what isn't there.
+    Submitting again with the same id is accepted once.
     """
-    body = msgspec.json.encode(submission.document, order='deterministic')
-    digest = xxhash.xxh128_hexdigest(body)
-    stored = await platform.put_object(_BUCKET, digest, body)
-    if isinstance(stored, Err):
-        return stored
-    head = Head(
-        submission.base_version + 1,
-        digest,
-        uuid.uuid4().hex,
-        submission.operator,
-        submission.reason,
+    read = await read_head(platform)
+    if isinstance(read, Err):
+        return read
+    found = await _find(platform, submission, read.ok_value)
+    if found is not None:
+        return found.map(lambda head: _published(head, submission, EMPTY))
+    old = await load_manifest(platform, read.ok_value.head)
+    if isinstance(old, Err):
+        return old
+    prepared = await _prepare(platform, submission, read.ok_value, old.ok_value)
+    if isinstance(prepared, Err):
+        return prepared
+    advanced = await _advance(platform, submission, read.ok_value.etag)
+    return advanced.map(
+        lambda head: _published(head, submission, old.ok_value),
     )
-    return await _advance(platform, head)
-
-
-async def read_head(
-    platform: Platform,
-) -> Result[Row | None, StoreFailure]:
-    """Read the head row as it stands in the table service."""
-    return await platform.get_row(_TABLE, _HEAD_KEY)
 
 
-async def load_accepted(
+async def load_version(
     platform: Platform,
-    head: Head,
-) -> Result[Accepted, StoreFailure]:
-    """Fetch the body that a head names."""
-    fetched = await platform.get_object(_BUCKET, head.digest)
-    if isinstance(fetched, Err):
-        return fetched
-    document = msgspec.json.decode(fetched.ok_value)
-    return Ok(Accepted(head, document))
-
-
-async def read_history(
+    version: int,
+) -> Result[Document | None, StoreFailure]:
+    """Fetch the document of an earlier version; `None` when unknown."""
+    read = await read_version(platform, version)
+    if isinstance(read, Err):
+        return read
+    head = read.ok_value
+    if head is None:
+        current = await read_head(platform)
+        if isinstance(current, Err):
+            return current
+        head = current.ok_value.head
+    if head is None or head.version != version:
+        return Ok(None)
+    return await load_document(platform, head)
+
+
+async def _prepare(
     platform: Platform,
-) -> Result[Sequence[Head], StoreFailure]:
-    """List the accepted versions, oldest first."""
-    listed = await platform.list_rows(_TABLE, 'version-')
-    if isinstance(listed, Err):
-        return listed
-    return Ok([decode_head(row.content) for row in listed.ok_value])
-
-
-def decode_head(content: bytes) -> Head:
-    """Read a head row back; raises `msgspec.DecodeError`."""
-    return msgspec.json.decode(content, type=Head)
+    submission: Submission,
+    current: HeadRow,
+    old: Manifest,
+) -> Result[None, StoreFailure]:
+    """Complete the history up to the current head, then store bodies."""
+    if current.head is not None:
+        repaired = await write_history(platform, current.head)
+        if isinstance(repaired, Err):
+            return repaired
+    pieces = split(submission.document)
+    known = {old.common, *old.services.values()}
+    return await store_bodies(
+        platform,
+        encode_document(submission.document),
+        pieces.manifest,
+        {
+            digest: text
+            for digest, text in pieces.texts.items()
+            if digest not in known
+        },
+    )
 
 
 async def _advance(
     platform: Platform,
-    head: Head,
+    submission: Submission,
+    etag: str,
 ) -> Result[Head, PublishFailure]:
-    read = await read_head(platform)
-    if isinstance(read, Err):
-        return read
-    row = read.ok_value
-    current = _head_in(row)
-    if _version_of(current) != head.version - 1:
-        return Err(Conflict(current))
-    content = msgspec.json.encode(head)
-    etag = '' if row is None else row.etag
-    written = await platform.put_row(_TABLE, _HEAD_KEY, content, etag)
+    head = _head_of(submission)
+    written = await write_head(platform, head, etag)
     if isinstance(written, Err):
-        return await _settle(platform, head, written.err_value)
-    await platform.put_row(_TABLE, f'version-{head.version:09d}', content, '')
+        return await _settle(platform, submission, written.err_value)
+    # When this is lost, the next writer makes up for it.
+    await write_history(platform, head)
     return Ok(head)
 
 
 async def _settle(
     platform: Platform,
-    head: Head,
+    submission: Submission,
     failure: StoreFailure,
 ) -> Result[Head, PublishFailure]:
-    read = await read_head(platform)
-    if isinstance(read, Err):
-        return Err(failure)
-    current = _head_in(read.ok_value)
-    if current is not None and current.submission_id == head.submission_id:
-        return Ok(current)
-    return Err(Conflict(current))
+    """Read back whether a write without an answer took effect."""
+    for _ in range(_SETTLE_TRIES):
+        read = await read_head(platform)
+        if isinstance(read, Ok):
+            found = await _find(platform, submission, read.ok_value)
+            if found is not None:
+                return found
+        await asyncio.sleep(_SETTLE_WAIT_S * jitter(_rng))
+    # The head has not moved, but the write may still be on its way.
+    return Err(OutcomeUnknown(submission.submission_id, failure))
+
+
+async def _find(
+    platform: Platform,
+    submission: Submission,
+    current: HeadRow,
+) -> Result[Head, PublishFailure] | None:
+    """Tell what became of a submission; `None` while it may be accepted."""
+    head = current.head
+    if head is not None and head.submission_id == submission.submission_id:
+        return Ok(head)
+    if current.version == submission.base_version:
+        return None
+    if current.version > submission.base_version:
+        read = await read_version(platform, submission.base_version + 1)
+        if isinstance(read, Err):
+            return Err(
+                OutcomeUnknown(submission.submission_id, read.err_value),
+            )
+        earlier = read.ok_value
+        if earlier is not None and _is_of(earlier, submission):
+            return Ok(earlier)
+    return Err(await _conflict(platform, submission, current))
+
+
+async def _conflict(
+    platform: Platform,
+    submission: Submission,
+    current: HeadRow,
+) -> Conflict:
+    if current.head is None:
+        return Conflict(None)
+    base = await load_version(platform, submission.base_version)
+    after = await load_document(platform, current.head)
+    base_document = base.ok() or {'ranks': (), 'services': {}}
+    if isinstance(after, Err):
+        return Conflict(current.head)
+    return Conflict(
+        current.head,
+        differences(base_document, after.ok_value),
+    )
 
 
-def _head_in(row: Row | None) -> Head | None:
-    return None if row is None else decode_head(row.content)
+def _published(
+    head: Head,
+    submission: Submission,
+    old: Manifest,
+) -> Published:
+    pieces = split(submission.document)
+    return Published(head, pieces, changed_services(old, pieces.manifest))
+
+
+def _head_of(submission: Submission) -> Head:
+    return Head(
+        submission.base_version + 1,
+        digest_of(encode_document(submission.document)),
+        submission.submission_id,
+        submission.operator,
+        submission.reason,
+    )
 
 
-def _version_of(head: Head | None) -> int:
-    return 0 if head is None else head.version
+def _is_of(head: Head, submission: Submission) -> bool:
+    return head.submission_id == submission.submission_id
--- /dev/null
+++ b/carobmoor/configuration/_store.py
@@ -0,0 +1,185 @@
+"""What of the configuration lies in the platform's store, and where.
+
+The table `configuration` holds the head row and one row per version; the
+bucket `configuration` holds whole documents, manifests and pieces by digest.
+"""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from carobmoor.configuration._document import Document
+from carobmoor.configuration._pieces import Manifest, digest_of
+from carobmoor.platform import Platform, Row, StoreFailure, StoreFault
+
+_TABLE: Final = 'configuration'
+_HEAD_KEY: Final = 'head'
+_BUCKET: Final = 'configuration'
+_MOST_WRITES_AT_ONCE: Final = 8
+EMPTY: Final = Manifest('', {})
+
+
+class Head(NamedTuple):
+    """The head row: the version in force and who made it so."""
+
+    version: int
+    # Of the whole document.
+    digest: str
+    submission_id: str
+    operator: str
+    reason: str
+
+
+class Accepted(NamedTuple):
+    """A version in force, with the part of its document that is held."""
+
+    head: Head
+    document: Document
+
+
+class HeadRow(NamedTuple):
+    """The head as read, with the tag that its successor must name."""
+
+    head: Head | None
+    etag: str
+
+    @property
+    def version(self) -> int:
+        """The version; 0 before the first."""
+        return 0 if self.head is None else self.head.version
+
+
+async def read_head(platform: Platform) -> Result[HeadRow, StoreFailure]:
+    """Read the head row as it stands in the table service."""
+    read = await platform.get_row(_TABLE, _HEAD_KEY)
+    return read.map(_head_row)
+
+
+async def write_head(
+    platform: Platform,
+    head: Head,
+    etag: str,
+) -> Result[Row, StoreFailure]:
+    """Replace the head that had `etag`."""
+    content = msgspec.json.encode(head)
+    return await platform.put_row(_TABLE, _HEAD_KEY, content, etag)
+
+
+async def write_history(
+    platform: Platform,
+    head: Head,
+) -> Result[None, StoreFailure]:
+    """Make sure that the history has this version."""
+    content = msgspec.json.encode(head)
+    key = _history_key(head.version)
+    written = await platform.put_row(_TABLE, key, content, '')
+    if isinstance(written, Err):
+        is_there = written.err_value.fault is StoreFault.PRECONDITION
+        return Ok(None) if is_there else written
+    return Ok(None)
+
+
+async def read_version(
+    platform: Platform,
+    version: int,
+) -> Result[Head | None, StoreFailure]:
+    """Read one version of the history; `None` when it isn't there."""
+    read = await platform.get_row(_TABLE, _history_key(version))
+    return read.map(lambda row: _head_row(row).head)
+
+
+async def read_history(
+    platform: Platform,
+) -> Result[Sequence[Head], StoreFailure]:
+    """List the accepted versions, oldest first.
+
+    The head counts, even when its writer died before its row of history.
+    """
+    listed = await platform.list_rows(_TABLE, 'version-')
+    if isinstance(listed, Err):
+        return listed
+    read = await read_head(platform)
+    if isinstance(read, Err):
+        return read
+    heads = [_decode(row) for row in listed.ok_value]
+    head = read.ok_value.head
+    if head is not None and head not in heads:
+        heads.append(head)
+    return Ok(heads)
+
+
+async def load_document(
+    platform: Platform,
+    head: Head,
+) -> Result[Document, StoreFailure]:
+    """Fetch the whole document that a head names."""
+    fetched = await platform.get_object(_BUCKET, head.digest)
+    return fetched.map(msgspec.json.decode)
+
+
+async def load_manifest(
+    platform: Platform,
+    head: Head | None,
+) -> Result[Manifest, StoreFailure]:
+    """Fetch the manifest of a version; an empty one before the first."""
+    if head is None:
+        return Ok(EMPTY)
+    key = _manifest_key(head.digest)
+    fetched = await platform.get_object(_BUCKET, key)
+    return fetched.map(
+        lambda body: msgspec.json.decode(body, type=Manifest),
+    )
+
+
+async def load_piece(platform: Platform, digest: str) -> str | None:
+    """Fetch a piece; `None` when the store doesn't give the right one."""
+    fetched = await platform.get_object(_BUCKET, digest)
+    if isinstance(fetched, Err):
+        return None
+    body: bytes = fetched.ok_value
+    return body.decode() if digest_of(body) == digest else None
+
+
+async def store_bodies(
+    platform: Platform,
+    document: bytes,
+    manifest: Manifest,
+    texts: Mapping[str, str],
+) -> Result[None, StoreFailure]:
+    """Store a document, its manifest and those pieces that are new."""
+    digest = digest_of(document)
+    bodies = {digest: document}
+    bodies[_manifest_key(digest)] = msgspec.json.encode(manifest)
+    bodies.update({key: text.encode() for key, text in texts.items()})
+    limit = asyncio.Semaphore(_MOST_WRITES_AT_ONCE)
+
+    async def store(key: str, body: bytes) -> Result[None, StoreFailure]:
+        async with limit:
+            return await platform.put_object(_BUCKET, key, body)
+
+    stored = await asyncio.gather(
+        *(store(key, body) for key, body in bodies.items()),
+    )
+    failed = [each for each in stored if isinstance(each, Err)]
+    return failed[0] if failed else Ok(None)
+
+
+def _head_row(row: Row | None) -> HeadRow:
+    if row is None:
+        return HeadRow(None, '')
+    return HeadRow(_decode(row), row.etag)
+
+
+def _decode(row: Row) -> Head:
+    return msgspec.json.decode(row.content, type=Head)
+
+
+def _history_key(version: int) -> str:
+    return f'version-{version:09d}'
+
+
+def _manifest_key(digest: str) -> str:
+    return f'manifest-{digest}'
--- /dev/null
+++ b/carobmoor/configuration/tests/test_publish.py
@@ -0,0 +1,127 @@
+"""Accepting: racing operators, lost answers, stale reads, a late store."""
+
+import asyncio
+
+from nose2.tools import params
+from result import Ok
+
+from carobmoor.configuration._publish import (
+    Conflict,
+    OutcomeUnknown,
+    load_version,
+    publish,
+)
+from carobmoor.configuration._store import read_history
+from carobmoor.configuration.tests.fixtures import (
+    FakePlatform,
+    document,
+    no_waits,
+    scripted,
+    submission,
+)
+from carobmoor.platform import StoreFailure
+
+# The read of the head, the document, the manifest and three pieces.
+ALL_BEFORE_THE_HEAD = ('ok', 'ok', 'ok', 'ok', 'ok', 'ok')
+
+
+def run(coroutine):
+    """Run with no waits between tries."""
+    with no_waits():
+        return asyncio.run(coroutine)
+
+
+async def published(platform, *submissions):
+    """Publish one after another and give the last outcome."""
+    for each in submissions:
+        outcome = await publish(platform, each)
+    return outcome
+
+
+def history(platform):
+    """Read the accepted versions."""
+    return run(read_history(platform)).unwrap()
+
+
+def test_versions_follow_each_other():
+    """Each accepted submission is the next version, in the history."""
+    platform = FakePlatform()
+    run(published(platform, submission(0, 'a'), submission(1, 'b', 12)))
+    assert [head.version for head in history(platform)] == [1, 2]
+    assert [head.submission_id for head in history(platform)] == ['a', 'b']
+
+
+def test_conflict_tells_what_differs():
+    """The loser is told the version, the operator and the changed fields."""
+    platform = FakePlatform()
+    lost = run(
+        published(
+            platform,
+            submission(0, 'a', 9),
+            submission(1, 'b', 12),
+            submission(1, 'c', 15),
+        ),
+    )
+    conflict = lost.unwrap_err()
+    assert isinstance(conflict, Conflict)
+    assert conflict.current.version == 2
+    told = [str(each) for each in conflict.differences]
+    assert told == ['$.services.bookings.slots: 9 -> 12']
+
+
+@params(
+    # head read, history, manifest read, bodies: the store fails before the
+    # head is written.
+    (('down',), StoreFailure),
+    # The head's write: its answer is lost, and the read back works.
+    ((*ALL_BEFORE_THE_HEAD, 'lost'), Ok),
+    # Lost, and every read back fails.
+    (
+        (*ALL_BEFORE_THE_HEAD, 'lost', 'down', 'down', 'down', 'down'),
+        OutcomeUnknown,
+    ),
+)
+def test_lost_answers(outcomes, expected):
+    """A lost answer is settled or said to be unknown, then settled."""
+    platform = FakePlatform()
+    platform.before = scripted(*outcomes)
+    first = run(publish(platform, submission(0, 'a')))
+    told = first if first.is_ok() else first.unwrap_err()
+    assert isinstance(told, expected)
+    again = run(publish(platform, submission(0, 'a')))
+    assert again.unwrap().head.version == 1
+    assert len(history(platform)) == 1
+
+
+def test_resubmission_is_accepted_once():
+    """An id accepted earlier is found in the history, not accepted again."""
+    platform = FakePlatform()
+    again = run(
+        published(
+            platform,
+            submission(0, 'a'),
+            submission(1, 'b', 12),
+            submission(0, 'a'),
+        ),
+    )
+    assert again.unwrap().head.version == 1
+    assert len(history(platform)) == 2
+
+
+def test_history_survives_death_of_the_writer():
+    """A row of history that was never written is made up for."""
+    platform = FakePlatform()
+    run(publish(platform, submission(0, 'a')))
+    platform.rows.pop('configuration/version-000000001')
+    assert [head.submission_id for head in history(platform)] == ['a']
+    run(publish(platform, submission(1, 'b', 12)))
+    assert [head.submission_id for head in history(platform)] == ['a', 'b']
+
+
+def test_earlier_content_can_be_loaded():
+    """An earlier version's whole document is still there."""
+    platform = FakePlatform()
+    run(published(platform, submission(0, 'a', 9), submission(1, 'b', 12)))
+    assert run(load_version(platform, 1)).unwrap() == document(9)
+    assert run(load_version(platform, 2)).unwrap() == document(12)
+    assert run(load_version(platform, 3)).unwrap() is None
--- /dev/null
+++ b/carobmoor/configuration/tests/test_racing.py
@@ -0,0 +1,155 @@
+"""Operators that race each other over a store that misbehaves."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from carobmoor.configuration._publish import publish
+from carobmoor.configuration._store import read_head, read_history
+from carobmoor.configuration.tests.fixtures import (
+    FakePlatform,
+    no_waits,
+    scripted,
+    submission,
+)
+
+_IDLE_TURNS = 60
+
+
+class RacingOperators(RuleBasedStateMachine):
+    """Operators whose store calls go through one at a time, in any order."""
+
+    def __init__(self):
+        """Start with an empty store."""
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.platform = FakePlatform()
+        self.platform.before = self.wait_for_turn
+        self.waiting = []
+        self.tasks = {}
+        self.submitted = {}
+        self.accepted = {}
+        self.started = 0
+        self.version = 0
+
+    async def wait_for_turn(self, kind):
+        """Hold a call of the store until the machine lets it go."""
+        turn = self.loop.create_future()
+        self.waiting.append((kind, turn))
+        return await turn
+
+    def publish(self, each):
+        """Start publishing."""
+        task = self.loop.create_task(publish(self.platform, each))
+        self.tasks[each.submission_id] = task
+        self.settle()
+
+    def settle(self):
+        """Run the loop until every task waits for the store."""
+
+        async def idle():
+            for _ in range(_IDLE_TURNS):
+                await asyncio.sleep(0)
+
+        with no_waits():
+            self.loop.run_until_complete(idle())
+        ended = [each for each, task in self.tasks.items() if task.done()]
+        for submission_id in ended:
+            outcome = self.tasks.pop(submission_id).result()
+            if outcome.is_ok():
+                head = outcome.unwrap().head
+                self.accepted.setdefault(submission_id, set()).add(head)
+
+    @precondition(lambda machine: len(machine.tasks) < 3)
+    @rule(offset=st.integers(-1, 0), slots=st.integers(1, 30))
+    def submit(self, offset, slots):
+        """An operator submits on the latest version, or on the one before."""
+        self.started += 1
+        base = max(0, self.version + offset)
+        each = submission(base, f'id-{self.started}', slots)
+        self.submitted[each.submission_id] = each
+        self.publish(each)
+
+    @precondition(lambda machine: machine.submitted)
+    @rule(data=st.data())
+    def submit_again(self, data):
+        """Somebody who got no answer asks again with the same id."""
+        ordered = sorted(self.submitted)
+        submission_id = data.draw(st.sampled_from(ordered))
+        if submission_id not in self.tasks:
+            self.publish(self.submitted[submission_id])
+
+    @precondition(lambda machine: machine.waiting)
+    @rule(
+        data=st.data(),
+        how=st.sampled_from(['ok', 'ok', 'ok', 'down', 'lost', 'stale']),
+    )
+    def let_one_call_go(self, data, how):
+        """One waiting call of the store ends in some way."""
+        position = data.draw(st.integers(0, len(self.waiting) - 1))
+        _, turn = self.waiting.pop(position)
+        turn.set_result(how)
+        self.settle()
+
+    @precondition(lambda machine: machine.waiting)
+    @rule(count=st.integers(5, 15))
+    def let_calls_go(self, count):
+        """Some waiting calls go well."""
+        for _ in range(count):
+            if self.waiting:
+                self.waiting.pop(0)[1].set_result('ok')
+                self.settle()
+
+    @invariant()
+    def versions_never_fall(self):
+        """The head's version rises by one at most, and never falls."""
+        self.platform.before = scripted()
+        head = self.loop.run_until_complete(read_head(self.platform))
+        self.platform.before = self.wait_for_turn
+        version = head.unwrap().version
+        assert self.version <= version <= self.version + 1
+        self.version = version
+
+    @invariant()
+    def nothing_accepted_is_lost(self):
+        """Whatever was told as accepted is in the history exactly once."""
+        self.platform.before = scripted()
+        read = self.loop.run_until_complete(read_history(self.platform))
+        self.platform.before = self.wait_for_turn
+        heads = read.unwrap()
+        versions = [head.version for head in heads]
+        ids = [head.submission_id for head in heads]
+        assert versions == list(range(1, len(heads) + 1))
+        assert len(set(ids)) == len(ids)
+        for told in self.accepted.values():
+            assert len(told) == 1
+            assert told <= set(heads)
+
+    def teardown(self):
+        """End what still waits."""
+        for task in self.tasks.values():
+            task.cancel()
+        if self.tasks:
+            self.loop.run_until_complete(asyncio.wait(self.tasks.values()))
+        self.loop.close()
+
+
+def test_racing_operators_lose_nothing():
+    """No interleaving of calls, losses and stale reads loses a version."""
+    run_state_machine_as_test(
+        RacingOperators,
+        settings=settings(
+            derandomize=True,
+            max_examples=60,
+            stateful_step_count=40,
+            deadline=None,
+        ),
+    )
--- a/carobmoor/membership/_gossip.py
+++ b/carobmoor/membership/_gossip.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from carobmoor.membership._jitter import jitter
 from carobmoor.membership._merge import (
     UNREACHABLE_KEPT_S,
     declare_self,
@@ -33,6 +32,7 @@
 from carobmoor.membership._state import MembershipState
 from carobmoor.membership._sync import Peers, synchronise
 from carobmoor.membership._targets import Targets
+from carobmoor.platform import jitter
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import Address, ConnectionPool, parse_address
 
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -13,11 +13,10 @@
 from result import Err
 
 from carobmoor.membership._gossip import Gossip
-from carobmoor.membership._jitter import jitter
 from carobmoor.membership._messages import Member, Standing
 from carobmoor.membership._rendezvous import is_chosen
 from carobmoor.membership._state import MembershipState
-from carobmoor.platform import Platform, Row
+from carobmoor.platform import Platform, Row, jitter
 from carobmoor.transport import Address, parse_address
 
 _TABLE: Final = 'seeds'
--- /dev/null
+++ b/carobmoor/node/_configure.py
@@ -0,0 +1,196 @@
+"""The control paths by which operators read and change the configuration."""
+
+import uuid
+from typing import Any, Final, NotRequired, TypedDict
+
+import msgspec
+from blacksheep import Application, Request, Response
+from result import Err, Ok, Result
+
+from carobmoor.configuration import (
+    Conflict,
+    Document,
+    OutcomeUnknown,
+    Published,
+    Snapshot,
+    Submission,
+    load_document,
+    load_version,
+    make_change,
+    publish,
+    read_head,
+    read_history,
+    validate_document,
+)
+from carobmoor.node._replies import (
+    OK,
+    as_json,
+    faulty,
+    operator_of,
+    refuse,
+    unauthorised,
+    unknown,
+)
+from carobmoor.node._state import NodeState
+from carobmoor.outcomes import Code
+
+_PATH: Final = '/_carobmoor/configuration'
+_MOST_DIFFERENCES: Final = 20
+
+
+class PutDocument(TypedDict):
+    """A configuration that an operator submits."""
+
+    base_version: NotRequired[int]
+    reason: NotRequired[str]
+    # The new document, or the earlier version whose content comes back.
+    document: NotRequired[Any]
+    rollback_to: NotRequired[int]
+    # Submitting again with the same id is accepted once.
+    submission_id: NotRequired[str]
+    # Only checks the document.
+    validate_only: NotRequired[bool]
+
+
+def route_configuration(app: Application, node: NodeState) -> None:
+    """Serve the whole configuration, its history and its changes."""
+
+    async def get_configuration() -> Response:
+        return await _whole(node)
+
+    async def get_held() -> Response:
+        accepted = node.configuration.accepted
+        if accepted is None:
+            return refuse(node, Code.NOT_READY, 'no configuration yet')
+        return as_json(OK, accepted._asdict())
+
+    async def history() -> Response:
+        read = await read_history(node.platform)
+        if isinstance(read, Err):
+            return refuse(node, Code.STORE_UNAVAILABLE, str(read.err_value))
+        return as_json(OK, [head._asdict() for head in read.ok_value])
+
+    async def put_configuration(request: Request) -> Response:
+        operator = operator_of(node, request)
+        if not operator:
+            return unauthorised(node)
+        return await _put(node, operator, await request.read() or b'')
+
+    app.router.add_get(_PATH, get_configuration)
+    app.router.add_get(f'{_PATH}/held', get_held)
+    app.router.add_get(f'{_PATH}/history', history)
+    app.router.add_put(_PATH, put_configuration)
+
+
+async def _whole(node: NodeState) -> Response:
+    """Answer with the newest whole document; nodes hold only parts."""
+    read = await read_head(node.platform)
+    if isinstance(read, Err):
+        return refuse(node, Code.STORE_UNAVAILABLE, str(read.err_value))
+    head = read.ok_value.head
+    if head is None:
+        return refuse(node, Code.NOT_READY, 'no configuration yet')
+    loaded = await load_document(node.platform, head)
+    if isinstance(loaded, Err):
+        return refuse(node, Code.STORE_UNAVAILABLE, str(loaded.err_value))
+    return as_json(
+        OK,
+        {'head': head._asdict(), 'document': loaded.ok_value},
+    )
+
+
+async def _put(node: NodeState, operator: str, body: bytes) -> Response:
+    try:
+        submitted = msgspec.json.decode(body, type=PutDocument)
+    except msgspec.DecodeError as error:
+        return refuse(node, Code.BAD_REQUEST, str(error))
+    found = await _candidate(node, submitted)
+    if isinstance(found, Err):
+        return found.err_value
+    checked = validate_document(found.ok_value)
+    if isinstance(checked, Err):
+        return faulty(checked.err_value)
+    if submitted.get('validate_only', False):
+        return as_json(OK, {'faults': []})
+    return await _publish(node, submitted, operator, checked.ok_value)
+
+
+async def _candidate(
+    node: NodeState,
+    submitted: PutDocument,
+) -> Result[Any, Response]:
+    if 'rollback_to' not in submitted:
+        return Ok(submitted.get('document'))
+    version = submitted['rollback_to']
+    loaded = await load_version(node.platform, version)
+    if isinstance(loaded, Err):
+        detail = str(loaded.err_value)
+        return Err(refuse(node, Code.STORE_UNAVAILABLE, detail))
+    if loaded.ok_value is None:
+        return Err(refuse(node, Code.NOT_FOUND, f'no version {version}'))
+    return Ok(loaded.ok_value)
+
+
+async def _publish(
+    node: NodeState,
+    submitted: PutDocument,
+    operator: str,
+    document: Document,
+) -> Response:
+    if 'base_version' not in submitted or 'reason' not in submitted:
+        detail = 'base_version and reason are needed'
+        return refuse(node, Code.BAD_REQUEST, detail)
+    published = await publish(
+        node.platform,
+        Submission(
+            document,
+            submitted['base_version'],
+            operator,
+            submitted['reason'],
+            submitted.get('submission_id') or uuid.uuid4().hex,
+        ),
+    )
+    if isinstance(published, Err):
+        return _not_published(node, published.err_value)
+    _tell(node, published.ok_value)
+    return as_json(OK, published.ok_value.head._asdict())
+
+
+def _tell(node: NodeState, published: Published) -> None:
+    """Put an accepted version in force here, from where it spreads."""
+    head, pieces, changed = published
+    change = make_change(
+        head,
+        pieces.manifest,
+        changed,
+        pieces.texts,
+        node.here,
+    )
+    snapshot = Snapshot(head, pieces.manifest)
+    node.configuration.note_published(snapshot, change, pieces.texts)
+
+
+def _not_published(node: NodeState, failure: Any) -> Response:
+    if isinstance(failure, Conflict):
+        return refuse(node, Code.CONFLICT, _conflict_detail(failure))
+    if isinstance(failure, OutcomeUnknown):
+        return unknown(
+            failure.failure.step,
+            failure.failure.peer,
+            f'ask again with submission id {failure.submission_id}',
+        )
+    return refuse(node, Code.STORE_UNAVAILABLE, str(failure))
+
+
+def _conflict_detail(conflict: Conflict) -> str:
+    if conflict.current is None:
+        return 'there is no version yet; the base is 0'
+    head = conflict.current
+    lines = [str(each) for each in conflict.differences]
+    shown = '; '.join(lines[:_MOST_DIFFERENCES])
+    hidden = len(lines) - _MOST_DIFFERENCES
+    more = f'; and {hidden} more' if hidden > 0 else ''
+    return (
+        f'version {head.version} by {head.operator} is current; '
+        f'changed since your base: {shown}{more}'
+    )
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -8,7 +8,6 @@
 from typing import Any, Final
 
 from carobmoor.client import Dispatcher, learn_service
-from carobmoor.configuration import follow
 from carobmoor.membership import (
     Gossip,
     Member,
@@ -57,7 +56,7 @@
 
 async def _serve(node: NodeState, server: Any, leaving: asyncio.Event) -> None:
     background = [
-        asyncio.create_task(follow(node.platform, node.configuration)),
+        asyncio.create_task(node.configuration.run()),
         asyncio.create_task(_join(node)),
         asyncio.create_task(
             keep_seeds(node.gossip, node.platform, random.Random()),
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -44,7 +44,7 @@
             await send_failure(send, read.err_value, '')
             return
         context = read.ok_value
-        declared = _declared(node, context)
+        declared = await _declared(node, context)
         if isinstance(declared, Err):
             await send_failure(send, declared.err_value, context.request_id)
             return
@@ -143,15 +143,13 @@
     return None
 
 
-def _declared(
+async def _declared(
     node: NodeState,
     context: RequestContext,
 ) -> Result[ServiceDocument, NotRun]:
-    accepted = node.configuration.accepted
-    if accepted is None:
+    if node.configuration.accepted is None:
         return Err(NotRun(Code.NOT_READY, 'configuration', node.here))
-    document = accepted.document
-    declared = document['services'].get(context.service)
+    declared = await node.configuration.declared(context.service)
     if declared is None:
         return Err(
             NotRun(Code.UNKNOWN_SERVICE, 'configuration', node.here),
--- /dev/null
+++ b/carobmoor/node/_follow.py
@@ -0,0 +1,82 @@
+"""Binding the configuration's follower to the membership."""
+
+import random
+import time
+from typing import Final
+
+from carobmoor.configuration import (
+    ConfigurationState,
+    Fleet,
+    Follower,
+    Teller,
+)
+from carobmoor.membership import Gossip, Member, Standing, is_chosen
+from carobmoor.platform import Platform
+from carobmoor.transport import parse_address
+
+_DUTY: Final = 'configuration'
+_POLLERS_PER_REGION: Final = 2
+_CHOICE_LIFETIME_S: Final = 10
+
+
+def make_follower(
+    platform: Platform,
+    state: ConfigurationState,
+    gossip: Gossip,
+) -> Follower:
+    """Make the follower of one node, told versions by its gossip."""
+    follower = Follower(platform, state, _make_fleet(gossip), random.Random())
+
+    def on_version(sender: Member, version: int) -> None:
+        zone = f'{sender.region}/{sender.availability_zone}'
+        follower.hear(Teller(sender.address, zone), version)
+
+    gossip.on_version = on_version
+    return follower
+
+
+def _make_fleet(gossip: Gossip) -> Fleet:
+    members = gossip.state
+    choice = _Choice()
+
+    async def ask(address: str, target: str, body: bytes) -> bytes | None:
+        return await gossip.peers.post(parse_address(address), target, body)
+
+    def of_service(service: str) -> list[str]:
+        return [
+            member.address
+            for member in members.of_service(service)
+            if member.standing is Standing.ALIVE
+            and member.address != members.me.address
+            and members.is_reachable(member)
+        ]
+
+    def is_poller() -> bool:
+        return choice.is_chosen(gossip)
+
+    def count_others() -> int:
+        return members.alive_count - 1
+
+    def count_zones() -> int:
+        return len({member.zone for member in members.others()})
+
+    return Fleet(ask, of_service, is_poller, count_others, count_zones)
+
+
+class _Choice:
+    """Whether this node is a poller, worked out anew only now and then."""
+
+    def __init__(self) -> None:
+        self._is_chosen = False
+        self._expires_s = float(0)
+
+    def is_chosen(self, gossip: Gossip) -> bool:
+        now_s = time.monotonic()
+        if now_s >= self._expires_s:
+            self._expires_s = now_s + _CHOICE_LIFETIME_S
+            self._is_chosen = is_chosen(
+                gossip.state,
+                _DUTY,
+                _POLLERS_PER_REGION,
+            )
+        return self._is_chosen
--- a/carobmoor/node/_peers.py
+++ b/carobmoor/node/_peers.py
@@ -8,6 +8,12 @@
 import xxhash
 from blacksheep import Application, Content, Request, Response
 
+from carobmoor.configuration import (
+    PIECES_TARGET,
+    SINCE_TARGET,
+    answer_pieces,
+    answer_since,
+)
 from carobmoor.membership import (
     SIGNATURE_HEADER,
     Member,
@@ -41,12 +47,21 @@
     def gossip(body: bytes) -> bytes:
         return answer_members(node.gossip.state, body, time.monotonic())
 
+    def since(body: bytes) -> bytes:
+        return answer_since(node.configuration.state, body)
+
+    def pieces(body: bytes) -> bytes:
+        return answer_pieces(node.configuration.state, body)
+
+    answers = {
+        f'{_PREFIX}/gossip/digests': digests,
+        f'{_PREFIX}/gossip/members': gossip,
+        SINCE_TARGET: since,
+        PIECES_TARGET: pieces,
+    }
     app.router.add_get(f'{_PREFIX}/members', members)
-    for path, answer in (('digests', digests), ('members', gossip)):
-        app.router.add_post(
-            f'{_PREFIX}/gossip/{path}',
-            _signed(node, answer),
-        )
+    for path, answer in answers.items():
+        app.router.add_post(path, _signed(node, answer))
 
 
 def _signed(node: NodeState, answer: Callable[[bytes], bytes]) -> PeerPath:
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -14,6 +14,7 @@
     objectives_of,
 )
 from carobmoor.membership import Gossip
+from carobmoor.node._follow import make_follower
 from carobmoor.node._settings import Settings
 from carobmoor.platform import Platform
 from carobmoor.routing import LoadReport
@@ -49,7 +50,11 @@
         self.burn = BurnState()
         self.objectives: Sequence[Objective] = ()
         self.gate = Gate(_NO_POLICY)
-        self.configuration = ConfigurationState(self._put_in_force)
+        self.configuration = make_follower(
+            platform,
+            ConfigurationState(self._put_in_force, self.service),
+            gossip,
+        )
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
         self.target_s_by_rank: Mapping[str, float] = {}
@@ -87,6 +92,7 @@
             for rank in document['ranks']
         }
         self.metrics.configuration_version.set(accepted.head.version)
+        self.gossip.announce_version(accepted.head.version)
         if self.service in document['services']:
             policy = admission_policy_of(document, self.service)
             self.gate.state.replace_policy(policy)
--- a/carobmoor/platform/_client.py
+++ b/carobmoor/platform/_client.py
@@ -7,6 +7,8 @@
 """
 
 import base64
+import random
+import time
 from collections.abc import Sequence
 from types import MappingProxyType
 from typing import Final, TypedDict
@@ -14,6 +16,7 @@
 
 from result import Err, Ok, Result
 
+from carobmoor.platform._breaker import Breaker
 from carobmoor.platform._messages import Row, StoreFailure, StoreFault
 from carobmoor.transport import (
     Address,
@@ -34,6 +37,7 @@
     }
 )
 _FIRST_FAILED_STATUS: Final = 400
+_FIRST_FAULTY_STATUS: Final = 500
 
 
 class _ListedRow(TypedDict):
@@ -55,6 +59,10 @@
         self._pool = pool
         self._table_service = table_service
         self._object_store = object_store
+        rng = random.Random()
+        self._breakers = {
+            address: Breaker(rng) for address in (table_service, object_store)
+        }
 
     async def get_row(
         self,
@@ -137,13 +145,18 @@
         address: Address,
         request: OutgoingRequest,
     ) -> Result[JsonAnswer, StoreFailure]:
+        breaker = self._breakers[address]
+        if not breaker.may_call(time.monotonic()):
+            return Err(_held_back(address))
         called = await request_json(self._pool, address, request, _TIMEOUT_S)
         if isinstance(called, Err):
+            breaker.note(False, time.monotonic())
             return Err(_unavailable(called.err_value))
         answer = called.ok_value
-        if answer.head.status < _FIRST_FAILED_STATUS:
-            return Ok(answer)
         status = answer.head.status
+        breaker.note(status < _FIRST_FAULTY_STATUS, time.monotonic())
+        if status < _FIRST_FAILED_STATUS:
+            return Ok(answer)
         fault = _FAULT_BY_STATUS.get(status, StoreFault.UNAVAILABLE)
         return Err(
             StoreFailure(fault, 'answer', str(address), f'status {status}'),
@@ -171,6 +184,15 @@
     ]
 
 
+def _held_back(address: Address) -> StoreFailure:
+    return StoreFailure(
+        StoreFault.UNAVAILABLE,
+        'breaker',
+        str(address),
+        'not called, since it failed lately',
+    )
+
+
 def _unavailable(failure: CallFailure) -> StoreFailure:
     return StoreFailure(
         StoreFault.UNAVAILABLE,
