Bound what operators change by their scope, and date every version

Cause: operators' names stood in the settings without a scope, and the history told who and why but not when.

Change: settings give an operator teams and services. A put is compared with the very version it is based on, and is refused with the names of the parts out of scope; acceptance is a compare-and-set on that version, so nothing slips in between. Draining asks for the node's service in scope, records of requests for any valid token. Versions are dated by the node that took them. Burn is now told for every service recorded at a node, since a node holds only its own service's part of the document.

Test: test_scope_bounds_what_a_token_changes, which fails with refuse_out_of_scope taken out of the put (version 2 appears).

--- a/carobmoor/burn/__init__.py
+++ b/carobmoor/burn/__init__.py
@@ -16,7 +16,12 @@
     decode_snapshots,
 )
 from carobmoor.burn._report import judge, merge_snapshots
-from carobmoor.burn._state import BurnState, record, take_snapshots
+from carobmoor.burn._state import (
+    BurnState,
+    record,
+    recorded_services,
+    take_snapshots,
+)
 
 __all__ = [
     'BurnState',
@@ -32,5 +37,6 @@
     'judge',
     'merge_snapshots',
     'record',
+    'recorded_services',
     'take_snapshots',
 ]
--- a/carobmoor/burn/_state.py
+++ b/carobmoor/burn/_state.py
@@ -65,6 +65,11 @@
     kept.latency.record_value(min(max(took_us, 1), _HIGHEST_US))
 
 
+def recorded_services(state: BurnState) -> Sequence[str]:
+    """Name the services of which any answer was recorded."""
+    return sorted({key.service for key in state.ranks})
+
+
 def take_snapshots(
     state: BurnState,
     objectives: Sequence[Objective],
--- a/carobmoor/configuration/_document.py
+++ b/carobmoor/configuration/_document.py
@@ -4,7 +4,7 @@
 console of forms.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Annotated, Any, Final, NotRequired
 
 from pydantic import ConfigDict, Field, TypeAdapter, with_config
@@ -101,8 +101,11 @@
     return AdmissionPolicy(declared['slots'], queue_limit, ranks)
 
 
-def objectives_of(document: Document) -> Sequence[Objective]:
-    """Give the objective of every rank of every service."""
+def objectives_of(
+    document: Document,
+    services: Iterable[str],
+) -> Sequence[Objective]:
+    """Give the objective of every rank for each of the services."""
     return [
         Objective(
             service,
@@ -110,7 +113,7 @@
             rank['target_latency_ms'],
             rank.get('objective', _DEFAULT_OBJECTIVE),
         )
-        for service in document['services']
+        for service in services
         for rank in document['ranks']
     ]
 
--- a/carobmoor/configuration/_publish.py
+++ b/carobmoor/configuration/_publish.py
@@ -71,6 +71,8 @@
     reason: str
     # Chosen by the operator's side, so that it can ask again.
     submission_id: str
+    # Unix time, for the history.
+    submitted_s: int = 0
 
 
 class Published(NamedTuple):
@@ -241,6 +243,7 @@
         submission.submission_id,
         submission.operator,
         submission.reason,
+        submission.submitted_s,
     )
 
 
--- a/carobmoor/configuration/_store.py
+++ b/carobmoor/configuration/_store.py
@@ -31,6 +31,8 @@
     submission_id: str
     operator: str
     reason: str
+    # Unix time at the node that took the submission; only for people.
+    submitted_s: int = 0
 
 
 class Accepted(NamedTuple):
--- a/carobmoor/node/_configure.py
+++ b/carobmoor/node/_configure.py
@@ -1,5 +1,6 @@
 """The control paths by which operators read and change the configuration."""
 
+import time
 import uuid
 from typing import Any, Final, NotRequired, TypedDict
 
@@ -31,7 +32,9 @@
     unauthorised,
     unknown,
 )
+from carobmoor.node._scope import refuse_out_of_scope
 from carobmoor.node._state import NodeState
+from carobmoor.operators import Operator
 from carobmoor.outcomes import Code
 
 _PATH: Final = '/_carobmoor/configuration'
@@ -72,7 +75,7 @@
 
     async def put_configuration(request: Request) -> Response:
         operator = operator_of(node, request)
-        if not operator:
+        if operator is None:
             return unauthorised(node)
         return await _put(node, operator, await request.read() or b'')
 
@@ -99,7 +102,7 @@
     )
 
 
-async def _put(node: NodeState, operator: str, body: bytes) -> Response:
+async def _put(node: NodeState, operator: Operator, body: bytes) -> Response:
     try:
         submitted = msgspec.json.decode(body, type=PutDocument)
     except msgspec.DecodeError as error:
@@ -134,20 +137,25 @@
 async def _publish(
     node: NodeState,
     submitted: PutDocument,
-    operator: str,
+    operator: Operator,
     document: Document,
 ) -> Response:
     if 'base_version' not in submitted or 'reason' not in submitted:
         detail = 'base_version and reason are needed'
         return refuse(node, Code.BAD_REQUEST, detail)
+    base = submitted['base_version']
+    refused = await refuse_out_of_scope(node, operator, base, document)
+    if refused is not None:
+        return refused
     published = await publish(
         node.platform,
         Submission(
             document,
-            submitted['base_version'],
-            operator,
+            base,
+            operator.name,
             submitted['reason'],
             submitted.get('submission_id') or uuid.uuid4().hex,
+            int(time.time()),
         ),
     )
     if isinstance(published, Err):
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -16,6 +16,7 @@
     refuse,
     unauthorised,
 )
+from carobmoor.node._scope import refuse_stranger
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code
 
@@ -49,8 +50,11 @@
 
     async def drain(request: Request) -> Response:
         operator = operator_of(node, request)
-        if not operator:
+        if operator is None:
             return unauthorised(node)
+        refused = refuse_stranger(node, operator)
+        if refused is not None:
+            return refused
         start_leaving()
         return as_json(OK, _status_of(node))
 
@@ -68,20 +72,24 @@
         content = Content(b'text/plain; version=0.0.4', node.metrics.render())
         return Response(OK, content=content)
 
-    async def explain(request_id: str) -> Response:
+    async def explain(request: Request, request_id: str) -> Response:
+        if operator_of(node, request) is None:
+            return unauthorised(node)
         kept = find_record(node.records, request_id)
         if kept is None:
             return refuse(node, Code.NOT_FOUND, 'no record of this request')
         return as_json(OK, kept)
 
-    async def bad_requests() -> Response:
+    async def bad_requests(request: Request) -> Response:
+        if operator_of(node, request) is None:
+            return unauthorised(node)
         return as_json(OK, recent_bad(node.records, _MOST_LISTED))
 
     app.router.add_get(f'{_PREFIX}/requests', bad_requests)
     app.router.add_get(f'{_PREFIX}/requests/{{request_id}}', explain)
 
     async def burn() -> Response:
-        return as_json(OK, take_snapshots(node.burn, node.objectives))
+        return as_json(OK, take_snapshots(node.burn, node.objectives()))
 
     app.router.add_get(f'{_PREFIX}/burn', burn)
     app.router.add_get(f'{_PREFIX}/status', status)
--- a/carobmoor/node/_replies.py
+++ b/carobmoor/node/_replies.py
@@ -1,7 +1,5 @@
 """Answers of the control paths, as JSON."""
 
-import hashlib
-import hmac
 from collections.abc import Sequence
 from typing import Any, Final
 
@@ -10,6 +8,7 @@
 
 from carobmoor.configuration import Fault
 from carobmoor.node._state import NodeState
+from carobmoor.operators import Operator, identify
 from carobmoor.outcomes import (
     Code,
     Failure,
@@ -21,20 +20,13 @@
 
 OK: Final = 200
 _UNPROCESSABLE: Final = 422
-_BEARER: Final = 'Bearer '
 _JSON: Final = b'application/json'
 
 
-def operator_of(node: NodeState, request: Request) -> str:
-    """Give the name of the operator who sent a request, or empty."""
-    given = (request.get_first_header(b'authorization') or b'').decode()
-    if not given.startswith(_BEARER):
-        return ''
-    digest = hashlib.sha256(given.removeprefix(_BEARER).encode()).hexdigest()
-    for operator in node.settings.get('operators', ()):
-        if hmac.compare_digest(operator['token_sha256'], digest):
-            return operator['name']
-    return ''
+def operator_of(node: NodeState, request: Request) -> Operator | None:
+    """Give the operator who sent a request; `None` without a valid token."""
+    given = request.get_first_header(b'authorization') or b''
+    return identify(node.operators, given.decode('latin-1'))
 
 
 def unauthorised(node: NodeState) -> Response:
--- /dev/null
+++ b/carobmoor/node/_scope.py
@@ -0,0 +1,62 @@
+"""Refusing operators what is not theirs."""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+from blacksheep import Response
+from result import Err, Ok, Result
+
+from carobmoor.configuration import Document, load_version
+from carobmoor.node._replies import refuse
+from carobmoor.node._state import NodeState
+from carobmoor.operators import Operator, changes_out_of_scope, may_operate
+from carobmoor.outcomes import Code
+from carobmoor.platform import StoreFailure
+
+_TEAM: Final = 'team'
+
+
+async def refuse_out_of_scope(
+    node: NodeState,
+    operator: Operator,
+    base: int,
+    document: Document,
+) -> Response | None:
+    """Refuse a document that changes what is not the operator's.
+
+    It is compared with the very version that it is based on; the acceptance
+    fails if another one is current by then, so nothing slips in between.
+    """
+    if operator.may_change_everything:
+        return None
+    before = await _content_of(node, base)
+    if isinstance(before, Err):
+        return refuse(node, Code.STORE_UNAVAILABLE, str(before.err_value))
+    named = changes_out_of_scope(operator, before.ok_value, {**document})
+    if not named:
+        return None
+    detail = f'not in the scope of {operator.name}: {", ".join(named)}'
+    return refuse(node, Code.FORBIDDEN, detail)
+
+
+def refuse_stranger(node: NodeState, operator: Operator) -> Response | None:
+    """Refuse an operator to whom this node's service is out of scope."""
+    team = ''
+    accepted = node.configuration.accepted
+    if accepted is not None:
+        declared = accepted.document['services'].get(node.service)
+        team = '' if declared is None else declared[_TEAM]
+    if may_operate(operator, node.service, team):
+        return None
+    detail = f'{node.service} is not in the scope of {operator.name}'
+    return refuse(node, Code.FORBIDDEN, detail)
+
+
+async def _content_of(
+    node: NodeState,
+    version: int,
+) -> Result[Mapping[str, Any], StoreFailure]:
+    if not version:
+        return Ok({})
+    loaded = await load_version(node.platform, version)
+    return loaded.map(lambda document: {**(document or {})})
--- a/carobmoor/node/_settings.py
+++ b/carobmoor/node/_settings.py
@@ -9,10 +9,12 @@
 from typing_extensions import TypedDict
 
 from carobmoor.configuration import Fault, check_document, read_commented
+from carobmoor.operators import Operator
 
 _STRICT: Final = ConfigDict(extra='forbid', strict=True)
 
 Name = Annotated[str, Field(pattern='^[a-z][a-z0-9-]{0,62}$')]
+NameOrAll = Annotated[str, Field(pattern=r'^([a-z][a-z0-9-]{0,62}|\*)$')]
 IpNumber = Annotated[str, Field(pattern=r'^\d{1,3}(\.\d{1,3}){3}$')]
 Port = Annotated[int, Field(ge=1, le=65535)]
 Peer = Annotated[str, Field(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')]
@@ -49,6 +51,9 @@
 
     name: Name
     token_sha256: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+    # The scope; "*" stands for all, and without any the operator only reads.
+    teams: NotRequired[Sequence[NameOrAll]]
+    services: NotRequired[Sequence[NameOrAll]]
 
 
 @with_config(_STRICT)
@@ -107,6 +112,19 @@
     return checked if isinstance(checked, Err) else Ok(checked.ok_value)
 
 
+def operators_of(settings: Settings) -> Sequence[Operator]:
+    """Give the operators that the settings name."""
+    return [
+        Operator(
+            declared['name'],
+            declared['token_sha256'],
+            frozenset(declared.get('teams', ())),
+            frozenset(declared.get('services', ())),
+        )
+        for declared in settings.get('operators', ())
+    ]
+
+
 def settings_schema() -> Mapping[str, Any]:
     """Give the JSON Schema of the settings."""
     return _ADAPTER.json_schema()
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from carobmoor.admission import AdmissionPolicy, Gate
-from carobmoor.burn import BurnState, Objective
+from carobmoor.burn import BurnState, Objective, recorded_services
 from carobmoor.client import Dispatcher
 from carobmoor.configuration import (
     Accepted,
@@ -17,7 +17,7 @@
 from carobmoor.membership import Gossip
 from carobmoor.node._follow import make_follower
 from carobmoor.node._pools import Pools
-from carobmoor.node._settings import Settings
+from carobmoor.node._settings import Settings, operators_of
 from carobmoor.platform import Platform
 from carobmoor.routing import LoadReport
 from carobmoor.telemetry import NodeMetrics
@@ -42,6 +42,7 @@
         """Bind the parts; the node is not ready before a configuration."""
         self.settings = settings
         self.service = settings['service']
+        self.operators = operators_of(settings)
         self.here = str(Address(**settings['listen']))
         self.backend_server = Address(**settings['backend_server'])
         self.pools = pools
@@ -51,7 +52,6 @@
         self.metrics = NodeMetrics()
         self.burn = BurnState()
         self.records = RecordState()
-        self.objectives: Sequence[Objective] = ()
         self.gate = Gate(_NO_POLICY)
         self.configuration = make_follower(
             platform,
@@ -62,6 +62,14 @@
         self.default_rank = ''
         self.target_s_by_rank: Mapping[str, float] = {}
 
+    def objectives(self) -> Sequence[Objective]:
+        """Give the objectives of every service that was recorded here."""
+        accepted = self.configuration.accepted
+        if accepted is None:
+            return ()
+        services = recorded_services(self.burn)
+        return objectives_of(accepted.document, services)
+
     def report(self) -> LoadReport:
         """Tell the load of the backend server as it is now."""
         admission = self.gate.state
@@ -89,7 +97,6 @@
         names = [rank['name'] for rank in document['ranks']]
         self.rank_names = frozenset(names)
         self.default_rank = names[-1]
-        self.objectives = objectives_of(document)
         self.target_s_by_rank = {
             rank['name']: rank['target_latency_ms'] / _MS_PER_S
             for rank in document['ranks']
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -258,6 +258,7 @@
                     'token_sha256': hashlib.sha256(
                         OPERATOR_TOKEN.encode(),
                     ).hexdigest(),
+                    'teams': ['*'],
                 },
             ],
         }
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,6 +1,7 @@
 """Operators' commands against a running node."""
 
 import asyncio
+import hashlib
 import json
 import os
 from unittest import mock
@@ -61,6 +62,32 @@
     assert unheard.code == 1
 
 
+@asynchronous
+async def test_scope_bounds_what_a_token_changes():
+    """A token of one team can't change or drain another team's service."""
+    operators = [
+        {
+            'name': 'media-night',
+            'token_sha256': hashlib.sha256(b'media').hexdigest(),
+            'teams': ['media'],
+        },
+        {
+            'name': 'chief',
+            'token_sha256': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest(),
+            'teams': ['*'],
+        },
+    ]
+    async with running(PLACE, operators=operators) as deployment:
+        node = str(deployment.pairs[0].node)
+        put = ('config', 'put', OTHER_DOCUMENT, node, '--reason=x', '--base=1')
+        refused = await command(*put, token='media')
+        undrained = await command('drain', node, token='media')
+        history = await command('config', 'history', node)
+    assert 'not in the scope of media-night: ranks, services.' in refused.err
+    assert 'bookings is not in the scope of media-night' in undrained.err
+    assert len(json.loads(history.out)) == 1
+
+
 @asynchronous
 async def test_wrong_token_changes_nothing():
     """Without the token a command says so and fails."""
