Tell the step of every broken exchange, never a short success

Cause: the connection layer had no tests of its own, and the whole product rests on its word. A table of scripted servers (test_steps) was written first; on the old code it showed:

- an answer to HEAD with a length, or in chunks, waited for a body that never comes;
- a second answer in the same bytes replaced the head of the first, so that a caller could get a crossed answer;
- bytes that reached an idle connection before the event loop read them were taken for the answer to the next request, and a close gave "unknown" for a request that had not been sent;
- a trickle of one byte an interval passed the progress floor;
- an answer that came before the whole request was written left a connection whose remaining bytes ran into the next request;
- a streamed body longer than its declared length ran into the next request;
- a reader that stopped or was cancelled within an answer left the connection open for good (request_json at a time-out among them);
- headers of an answer, and trailers, were kept without a bound;
- a line break in a target or header was written as it was;
- 101 raised out of the protocol;
- connecting was not bounded by the call's deadline.

Change: each is mended where it arose. The floor counts the bytes of an interval, and only time spent waiting for the sender.

Seen failing: the new test_steps on the old transport, case by case: HEAD (3 cases), second answer, trailer, stalled body (wrong step), malformed request (4), bytes while idle (2), early answer, streamed length (2), unread answer; the trickle ran past 9 s. Not shown failing: the bound of the head (the old code ended that case by its time-out) and 101 (it failed as it should, with a traceback). The other cases passed before.

--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -18,6 +18,7 @@
     parse_address,
 )
 from carobmoor.transport._pool import ConnectionPool
+from carobmoor.transport._progress import ProgressMeter
 from carobmoor.transport._steps import CallFailure, Step, proves_not_run
 
 __all__ = [
@@ -32,6 +33,7 @@
     'JsonAnswer',
     'OutgoingRequest',
     'ProgressFloor',
+    'ProgressMeter',
     'Step',
     'header_of',
     'parse_address',
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -1,6 +1,7 @@
 """One connection to a backend server or node, one request at a time on it."""
 
 import asyncio
+import select
 from collections import deque
 from typing import Final
 
@@ -10,6 +11,7 @@
 from carobmoor.transport._steps import Step
 
 _PAUSE_READING_BYTES: Final = 262144
+_MOST_HEAD_BYTES: Final = 262144
 _LAST_INFORMATIONAL_STATUS: Final = 199
 
 
@@ -37,6 +39,8 @@
         self._buffered_bytes = 0
         self._reading_paused = False
         self._peer_keeps_alive = False
+        self._head_bytes = 0
+        self._is_bodiless = False
         self._writable: asyncio.Future[None] | None = None
         self._waiter: asyncio.Future[None] | None = None
 
@@ -54,10 +58,24 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may follow on this connection."""
-        left_over = self.request_cut_short or self._chunks
+        left_over = self.request_cut_short or self._chunks or self._is_writing
         whole = self.ended and not left_over
         return whole and self.is_open and self._peer_keeps_alive
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the peer has sent nothing since the last answer.
+
+        Bytes or a close that the event loop has not read yet count too: a
+        request written now could take them for its answer.
+        """
+        if self._transport is None or not self.is_open:
+            return False
+        poll = select.poll()
+        socket = self._transport.get_extra_info('socket')
+        poll.register(socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by the event loop."""
         self._transport = transport  # type: ignore[assignment]
@@ -72,6 +90,9 @@
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
             self.close(f'malformed answer: {error}')
+        except httptools.HttpParserUpgrade:
+            self.close('the peer switched protocols')
+        self._bound_head(len(received))
 
     def connection_lost(self, error: Exception | None) -> None:
         """Wake whoever waits on this connection."""
@@ -91,20 +112,31 @@
             self._writable.set_result(None)
         self._writable = None
 
+    def on_message_begin(self) -> None:
+        """Close when another answer follows the whole one."""
+        if self.ended:
+            self.close('bytes after the answer')
+
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect one header of the answer."""
-        self._headers.append((name.lower(), content))
+        """Collect one header of the answer; trailers are dropped."""
+        if self._head is None:
+            self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
         """Publish the head of the answer, unless it is informational."""
         status = self._parser.get_status_code()
-        if status > _LAST_INFORMATIONAL_STATUS:
-            self._head = AnswerHead(status, self._headers)
-            self._peer_keeps_alive = self._parser.should_keep_alive()
-            self._wake()
+        if self.ended or status <= _LAST_INFORMATIONAL_STATUS:
+            return
+        self._head = AnswerHead(status, self._headers)
+        self._peer_keeps_alive = self._parser.should_keep_alive()
+        self.ended = self._is_bodiless
+        self._wake()
 
     def on_body(self, chunk: bytes) -> None:
         """Keep a chunk, and stop reading while too many wait."""
+        if self.ended:
+            self.close('bytes after the answer')
+            return
         self._chunks.append(chunk)
         self._buffered_bytes += len(chunk)
         if self._buffered_bytes > _PAUSE_READING_BYTES:
@@ -123,10 +155,16 @@
         """Forget the last exchange and make ready for the next."""
         self.step = Step.BEFORE_FIRST_BYTE
         self.ended = False
+        self._head_bytes = 0
+        self._is_bodiless = False
         self._headers = []
         self._head = None
         self._parser = httptools.HttpResponseParser(self)
 
+    def expect_no_body(self) -> None:
+        """Take the head for the whole answer, as `HEAD` asks for."""
+        self._is_bodiless = True
+
     def write(self, written: bytes, step: Step) -> None:
         """Write bytes and note that the call has come as far as `step`."""
         if self._transport is not None and self.is_open:
@@ -166,6 +204,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _is_writing(self) -> bool:
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def _bound_head(self, received_bytes: int) -> None:
+        if self._head is None:
+            self._head_bytes += received_bytes
+            if self._head_bytes > _MOST_HEAD_BYTES:
+                self.close('the head of the answer is too large')
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._reading_paused:
             self._transport.pause_reading()
--- a/carobmoor/transport/_exchange.py
+++ b/carobmoor/transport/_exchange.py
@@ -1,6 +1,7 @@
 """One request and its answer on one connection."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -14,10 +15,13 @@
     ProgressFloor,
 )
 from carobmoor.transport._pool import ConnectionPool
+from carobmoor.transport._progress import ProgressMeter
 from carobmoor.transport._steps import CallFailure, Step
 
 _LAST_CHUNK: Final = b'0\r\n\r\n'
 _LINE_END: Final = b'\r\n'
+_LENGTH: Final = b'content-length'
+_CODING: Final = b'transfer-encoding'
 
 
 class AnswerBroken(ConnectionError):
@@ -32,7 +36,7 @@
 class Answer:
     """An answer whose head has come and whose body is read as it comes.
 
-    The reader must either read `chunks` to the end or call `abandon`;
+    The reader must either start to read `chunks` or call `abandon`;
     otherwise the connection is neither used again nor closed.
     """
 
@@ -56,11 +60,17 @@
         """Give the body in chunks, holding the sender back meanwhile.
 
         Raises `AnswerBroken` when the connection is lost before the end or
-        when the transfer falls below its progress floor.
+        when the transfer falls below its progress floor. Who stops reading
+        before the end, also by being cancelled, closes the connection.
         """
         connection = self._connection
-        while chunk := await _next_chunk(connection, floor):
-            yield chunk
+        meter = None if floor is None else ProgressMeter(floor)
+        try:
+            while chunk := await _next_chunk(connection, meter):
+                yield chunk
+        except BaseException as error:
+            connection.close(f'not read further: {type(error).__name__}')
+            raise
         if not connection.ended:
             raise AnswerBroken(
                 _failure(connection, Step.ANSWER_BODY),
@@ -80,13 +90,20 @@
 ) -> Result[Answer, CallFailure]:
     """Send a request and wait for the head of its answer.
 
-    `timeout_s` bounds the wait for the head, the sending of the body
-    included. Cancelling closes the connection, which tells the peer.
+    `timeout_s` bounds the wait for the head, connecting and the sending of
+    the body included. Cancelling closes the connection, which tells the peer.
     """
-    acquired = await pool.acquire(address)
+    started_s = time.monotonic()
+    fault = _fault_of(request)
+    if fault:
+        return Err(CallFailure(Step.BEFORE_FIRST_BYTE, str(address), fault))
+    acquired = await pool.acquire(address, timeout_s)
     if isinstance(acquired, Err):
         return acquired
     connection = acquired.ok_value
+    timeout_s -= time.monotonic() - started_s
+    if request.method == 'HEAD':
+        connection.expect_no_body()
     try:
         async with asyncio.timeout(timeout_s):
             head = await _exchange_head(connection, request)
@@ -128,21 +145,38 @@
     connection: Connection,
     request: OutgoingRequest,
 ) -> None:
-    chunked = not _has_length(request)
-    connection.write(_encode_head(request, chunked), Step.REQUEST_BODY)
+    declared = _length_of(request)
+    connection.write(_encode_head(request, declared < 0), Step.REQUEST_BODY)
     try:
-        async for chunk in _whole_body(request):
-            framed = _frame(chunk) if chunked else chunk
-            connection.write(framed, Step.REQUEST_BODY)
-            await connection.drain()
+        sent_bytes = await _send_chunks(connection, request, declared)
     except Exception as error:
         connection.close(f'the body broke off: {error}')
         return
-    if chunked:
+    if declared < 0:
         connection.write(_LAST_CHUNK, Step.REQUEST_BODY)
+    elif sent_bytes != declared:
+        connection.close('the body has another length than declared')
+        return
     connection.step = Step.AWAITING_ANSWER
 
 
+async def _send_chunks(
+    connection: Connection,
+    request: OutgoingRequest,
+    declared: int,
+) -> int:
+    sent_bytes = 0
+    async for chunk in _whole_body(request):
+        sent_bytes += len(chunk)
+        if 0 <= declared < sent_bytes:
+            # Bytes past the length would be read as another request.
+            return sent_bytes
+        framed = _frame(chunk) if declared < 0 else chunk
+        connection.write(framed, Step.REQUEST_BODY)
+        await connection.drain()
+    return sent_bytes
+
+
 async def _whole_body(request: OutgoingRequest) -> AsyncIterator[bytes]:
     if request.body:
         yield request.body
@@ -154,16 +188,19 @@
 
 async def _next_chunk(
     connection: Connection,
-    floor: ProgressFloor | None,
+    meter: ProgressMeter | None,
 ) -> bytes:
-    if floor is None or connection.has_news:
+    if meter is None or connection.has_news:
         return await connection.read_chunk()
+    started_s = time.monotonic()
     try:
-        async with asyncio.timeout(floor.interval_s):
-            return await connection.read_chunk()
+        async with asyncio.timeout(meter.left_s):
+            chunk = await connection.read_chunk()
     except TimeoutError:
         connection.close('the transfer stalled')
         return b''
+    meter.note(len(chunk), time.monotonic() - started_s)
+    return chunk
 
 
 def _encode_head(request: OutgoingRequest, chunked: bool) -> bytes:
@@ -179,7 +216,35 @@
 
 
 def _has_length(request: OutgoingRequest) -> bool:
-    return any(name == b'content-length' for name, _ in request.headers)
+    return any(name == _LENGTH for name, _ in request.headers)
+
+
+def _length_of(request: OutgoingRequest) -> int:
+    """Give the declared length of a body; -1 when it is sent chunked."""
+    for name, content in request.headers:
+        if name == _LENGTH and content.isdigit():
+            return int(content)
+    return -1
+
+
+def _fault_of(request: OutgoingRequest) -> str:
+    """Tell why a request could be read as another than it is."""
+    line = f'{request.method} {request.target}'.encode()
+    if _breaks_line(line) or line.count(b' ') > 1:
+        return 'the request line is malformed'
+    for name, content in request.headers:
+        if _breaks_line(name) or _breaks_line(content) or name == _CODING:
+            return 'a header is malformed'
+        if name == _LENGTH and not content.isdigit():
+            return 'the declared length is no number'
+    is_at_hand = request.more_body is None and _has_length(request)
+    if is_at_hand and _length_of(request) != len(request.body):
+        return 'the body has another length than declared'
+    return ''
+
+
+def _breaks_line(part: bytes) -> bool:
+    return b'\n' in part or b'\r' in part
 
 
 def _frame(chunk: bytes) -> bytes:
--- a/carobmoor/transport/_json.py
+++ b/carobmoor/transport/_json.py
@@ -1,6 +1,7 @@
 """Calls between processes whose request and answer are JSON."""
 
 import asyncio
+import time
 from collections.abc import Sequence
 from typing import Any, Final, NamedTuple
 
@@ -38,43 +39,43 @@
     timeout_s: float,
 ) -> Result[JsonAnswer, CallFailure]:
     """Send a request and read its whole answer within `timeout_s`."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await _request(pool, address, request, timeout_s)
-    except TimeoutError:
-        return Err(_late(address))
-
-
-async def _request(
-    pool: ConnectionPool,
-    address: Address,
-    request: OutgoingRequest,
-    timeout_s: float,
-) -> Result[JsonAnswer, CallFailure]:
+    due_s = time.monotonic() + timeout_s
     sent = await send(pool, address, _with_host(request, address), timeout_s)
     if isinstance(sent, Err):
         return sent
     answer = sent.ok_value
+    left_s = due_s - time.monotonic()
     try:
-        body = await read_whole(answer, _MOST_BODY_BYTES)
+        body = await read_whole(answer, _MOST_BODY_BYTES, left_s)
     except AnswerBroken as error:
         return Err(error.failure)
     return Ok(JsonAnswer(answer.head, body))
 
 
-async def read_whole(answer: Answer, most_bytes: int) -> bytes:
-    """Read a whole body; raises `AnswerBroken` when short or too large."""
+async def read_whole(
+    answer: Answer,
+    most_bytes: int,
+    timeout_s: float | None = None,
+) -> bytes:
+    """Read a whole body.
+
+    Raises `AnswerBroken` when it is short, too large or late.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _read_bounded(answer, most_bytes)
+    except TimeoutError:
+        raise AnswerBroken(_broken(answer, 'the answer stalled')) from None
+
+
+async def _read_bounded(answer: Answer, most_bytes: int) -> bytes:
     parts: list[bytes] = []
     received_bytes = 0
     async for chunk in answer.chunks():
         parts.append(chunk)
         received_bytes += len(chunk)
         if received_bytes > most_bytes:
-            answer.abandon('answer too large')
-            peer = str(answer.address)
-            raise AnswerBroken(
-                CallFailure(Step.ANSWER_BODY, peer, 'answer too large'),
-            )
+            raise AnswerBroken(_broken(answer, 'answer too large'))
     return b''.join(parts)
 
 
@@ -84,5 +85,5 @@
     return request._replace(headers=headers)
 
 
-def _late(address: Address) -> CallFailure:
-    return CallFailure(Step.AWAITING_ANSWER, str(address), 'no answer in time')
+def _broken(answer: Answer, reason: str) -> CallFailure:
+    return CallFailure(Step.ANSWER_BODY, str(answer.address), reason)
--- a/carobmoor/transport/_pool.py
+++ b/carobmoor/transport/_pool.py
@@ -32,11 +32,12 @@
     async def acquire(
         self,
         address: Address,
+        timeout_s: float = _CONNECT_TIMEOUT_S,
     ) -> Result[Connection, CallFailure]:
         """Give an idle connection to the address or open a new one."""
         connection = self._take_idle(address)
         if connection is None:
-            return await self._open(address)
+            return await self._open(address, timeout_s)
         connection.begin()
         return Ok(connection)
 
@@ -64,16 +65,21 @@
         oldest_s = _now_s() - _IDLE_LIFETIME_S
         while idle:
             connection = idle.pop()
-            if connection.is_open and connection.idle_since_s > oldest_s:
+            is_young = connection.idle_since_s > oldest_s
+            if is_young and connection.is_silent:
                 return connection
             connection.close('idle for too long')
         return None
 
-    async def _open(self, address: Address) -> Result[Connection, CallFailure]:
+    async def _open(
+        self,
+        address: Address,
+        timeout_s: float,
+    ) -> Result[Connection, CallFailure]:
         loop = asyncio.get_running_loop()
         peer = str(address)
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(min(timeout_s, _CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
                     lambda: Connection(peer),
                     address.ip,
--- /dev/null
+++ b/carobmoor/transport/tests/test_steps.py
@@ -0,0 +1,417 @@
+"""Each way in which an exchange can fail gives its step, never an answer."""
+
+import asyncio
+import contextlib as context
+import os
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+from nose2.tools import params
+from result import Result
+
+from carobmoor.transport import (
+    Address,
+    AnswerBroken,
+    CallFailure,
+    ConnectionPool,
+    JsonAnswer,
+    OutgoingRequest,
+    ProgressFloor,
+    Step,
+    proves_not_run,
+    request_json,
+    send,
+)
+
+IP = '127.0.0.1'
+GET = OutgoingRequest('GET', '/x', ())
+HEAD = OutgoingRequest('HEAD', '/x', ())
+POST = OutgoingRequest('POST', '/x', (), b'body')
+PATIENCE_S = 5
+BRIEF_S = 0.1
+MEBIBYTE = 1_048_576
+TRICKLE = (b'x',) * 4000
+
+Write = Callable[[bytes], None]
+Script = Sequence[bytes | None]
+AnswerFunction = Callable[[asyncio.StreamReader, Write], Awaitable[None]]
+
+
+class Case(NamedTuple):
+    """An answer as bytes, and what must become of the call."""
+
+    name: str
+    request: OutgoingRequest
+    # The bytes to write, in order; `None` leaves the connection open.
+    script: Script
+    # The step of the failure, or the whole body.
+    outcome: Step | bytes
+    timeout_s: float = PATIENCE_S
+
+
+CASES = (
+    Case('closed before the head', GET, (), Step.AWAITING_ANSWER),
+    Case(
+        'closed within the head',
+        GET,
+        (b'HTTP/1.1 200 OK\r\ncontent-le',),
+        Step.AWAITING_ANSWER,
+    ),
+    Case(
+        'malformed head', GET, (b'no http\r\n\r\n', None), Step.AWAITING_ANSWER
+    ),
+    Case('no head in time', GET, (None,), Step.AWAITING_ANSWER, BRIEF_S),
+    Case(
+        'two lengths',
+        GET,
+        (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n'
+            b'content-length: 2\r\n\r\nab',
+        ),
+        Step.AWAITING_ANSWER,
+    ),
+    Case(
+        'a head without an end',
+        GET,
+        (b'HTTP/1.1 200 OK\r\nx: ', *((b'y' * MEBIBYTE,) * 2), None),
+        Step.AWAITING_ANSWER,
+    ),
+    Case(
+        'switched protocols',
+        GET,
+        (
+            b'HTTP/1.1 101 Switching\r\nupgrade: x\r\n'
+            b'connection: upgrade\r\n\r\nabc',
+            None,
+        ),
+        Step.AWAITING_ANSWER,
+    ),
+    Case(
+        'short body',
+        GET,
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort',),
+        Step.ANSWER_BODY,
+    ),
+    Case(
+        'short chunked body',
+        GET,
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'5\r\nshort\r\n',
+        ),
+        Step.ANSWER_BODY,
+    ),
+    Case(
+        'malformed chunk',
+        GET,
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+            b'xyz',
+            None,
+        ),
+        Step.ANSWER_BODY,
+    ),
+    Case(
+        'no length, ended by close',
+        GET,
+        (b'HTTP/1.1 200 OK\r\n\r\nhow much is missing?',),
+        Step.ANSWER_BODY,
+    ),
+    Case(
+        'stalled body',
+        GET,
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort', None),
+        Step.ANSWER_BODY,
+        BRIEF_S,
+    ),
+    Case(
+        'whole by length',
+        GET,
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole', None),
+        b'whole',
+    ),
+    Case(
+        'whole in chunks, with a trailer',
+        GET,
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'2\r\nwh\r\n3\r\nole\r\n0\r\nx-late: 1\r\n\r\n',
+            None,
+        ),
+        b'whole',
+    ),
+    Case(
+        'informational answers first',
+        POST,
+        (
+            b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nx: y\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole',
+            None,
+        ),
+        b'whole',
+    ),
+    Case(
+        'HEAD with a length',
+        HEAD,
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n', None),
+        b'',
+    ),
+    Case(
+        'HEAD without a length', HEAD, (b'HTTP/1.1 200 OK\r\n\r\n', None), b''
+    ),
+    Case(
+        'HEAD in chunks',
+        HEAD,
+        (b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n', None),
+        b'',
+    ),
+    Case('no content', GET, (b'HTTP/1.1 204 None\r\n\r\n', None), b''),
+    Case(
+        'not modified with a length',
+        GET,
+        (b'HTTP/1.1 304 Same\r\ncontent-length: 5\r\n\r\n', None),
+        b'',
+    ),
+    Case(
+        'a second answer in the same bytes',
+        GET,
+        (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
+            b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother',
+            None,
+        ),
+        b'whole',
+    ),
+)
+
+
+@params(*((case,) for case in CASES))
+def test_outcome(case):
+    """The step is told, or the whole body given."""
+    told = asyncio.run(_call_scripted(case))
+    if isinstance(case.outcome, bytes):
+        assert told.unwrap().body == case.outcome, (case.name, told)
+        names = [name for name, _ in told.unwrap().head.headers]
+        assert b'x-late' not in names
+        return
+    failure = told.unwrap_err()
+    assert failure.step is case.outcome, (case.name, failure)
+    assert not proves_not_run(failure)
+    assert failure.reason
+
+
+def test_refused_connection_proves_not_run():
+    """Nothing was written where nobody listens."""
+
+    async def run() -> Result[JsonAnswer, CallFailure]:
+        async with serving(scripted(())) as gone:
+            address = gone
+        return await request_json(ConnectionPool(), address, GET, PATIENCE_S)
+
+    failure = asyncio.run(run()).unwrap_err()
+    assert failure.step is Step.CONNECT
+    assert proves_not_run(failure)
+
+
+@params(
+    ('/x\r\nHost: other', ()),
+    ('/x', ((b'x', b'y\r\nz: 1'),)),
+    ('/x', ((b'content-length', b'1'),)),
+    ('/x', ((b'transfer-encoding', b'chunked'),)),
+)
+def test_malformed_request_is_not_sent(target, headers):
+    """What could be read as another request is never written."""
+    request = OutgoingRequest('POST', target, headers, b'body')
+    case = Case('malformed', request, (None,), b'')
+    failure = asyncio.run(_call_scripted(case)).unwrap_err()
+    assert failure.step is Step.BEFORE_FIRST_BYTE
+
+
+def test_trickle_falls_below_the_floor():
+    """A byte now and then is no progress, however long it goes on."""
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n'
+
+    async def run() -> Sequence[bytes]:
+        trickle = scripted((head, *TRICKLE), 0.02)
+        async with serving(trickle) as address:
+            sent = await send(ConnectionPool(), address, GET, PATIENCE_S)
+            floor = ProgressFloor(BRIEF_S, 1000)
+            return [chunk async for chunk in sent.unwrap().chunks(floor)]
+
+    try:
+        asyncio.run(run())
+    except AnswerBroken as error:
+        assert error.failure.step is Step.ANSWER_BODY
+        assert error.failure.reason == 'the transfer stalled'
+    else:
+        raise AssertionError('the trickle went on to its end')
+
+
+@params(b'', b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate')
+def test_late_answer_is_not_the_next_one(late):
+    """After a time-out the next request gets its own answer."""
+    whole = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
+
+    async def run() -> Sequence[Result[JsonAnswer, CallFailure]]:
+        pool = ConnectionPool()
+        waiting = asyncio.Event()
+        served_calls = 0
+
+        async def answer(_: asyncio.StreamReader, write: Write) -> None:
+            nonlocal served_calls
+            served_calls += 1
+            if served_calls == 1:
+                await waiting.wait()
+                write(late)
+            else:
+                write(whole)
+
+        async with serving(answer) as address:
+            first = await request_json(pool, address, GET, BRIEF_S)
+            waiting.set()
+            second = await request_json(pool, address, GET, PATIENCE_S)
+        return (first, second)
+
+    first, second = asyncio.run(run())
+    assert first.unwrap_err().step is Step.AWAITING_ANSWER
+    assert second.unwrap().body == b'whole'
+
+
+@params(b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother', b'')
+def test_bytes_while_idle_end_the_connection(surplus):
+    """A crossed answer or a close on an idle connection harms no request."""
+    whole = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
+
+    async def run() -> Sequence[Result[JsonAnswer, CallFailure]]:
+        pool = ConnectionPool()
+        writers: list[asyncio.StreamWriter] = []
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            writers.append(writer)
+            gone = (asyncio.IncompleteReadError, asyncio.CancelledError)
+            with context.suppress(*gone):
+                while await reader.readuntil(b'\r\n\r\n'):
+                    writer.write(whole)
+
+        server = await asyncio.start_server(serve, IP, 0)
+        address = Address(*server.sockets[0].getsockname())
+        first = await request_json(pool, address, GET, PATIENCE_S)
+        # Written past the event loop, which has no turn before the next call.
+        socket = writers[0].get_extra_info('socket')
+        os.write(socket.fileno(), surplus)
+        if not surplus:
+            socket.shutdown(1)
+        second = await request_json(pool, address, GET, PATIENCE_S)
+        pool.close()
+        server.close()
+        return (first, second)
+
+    for told in asyncio.run(run()):
+        assert told.unwrap().body == b'whole'
+
+
+def test_early_answer_ends_the_connection():
+    """What is left of a request can't run into the next one."""
+    refusal = b'HTTP/1.1 413 Large\r\ncontent-length: 2\r\n\r\nno'
+    large = OutgoingRequest('POST', '/x', (), bytes(32 * MEBIBYTE))
+
+    async def run() -> Result[JsonAnswer, CallFailure]:
+        pool = ConnectionPool()
+        connections = 0
+
+        async def answer(reader: asyncio.StreamReader, write: Write) -> None:
+            nonlocal connections
+            connections += 1
+            write(refusal)
+
+        async with serving(answer) as address:
+            told = await request_json(pool, address, large, PATIENCE_S)
+            again = await request_json(pool, address, GET, PATIENCE_S)
+        assert connections == 2
+        assert again.unwrap().body == b'no'
+        return told
+
+    assert asyncio.run(run()).unwrap().head.status == 413
+
+
+@params(1, 9)
+def test_streamed_body_of_another_length_is_cut(count):
+    """A body shorter or longer than declared ends its connection."""
+
+    async def chunks() -> AsyncIterator[bytes]:
+        for _ in range(count):
+            yield b'x'
+
+    headers = ((b'content-length', b'4'),)
+    request = OutgoingRequest('POST', '/x', headers, b'', chunks())
+    case = Case('another length', request, (None,), b'')
+    failure = asyncio.run(_call_scripted(case)).unwrap_err()
+    assert failure.step is Step.REQUEST_BODY
+    assert 'length' in failure.reason
+
+
+def test_unread_answer_closes_its_connection():
+    """A reader that stops in the middle leaves nothing open."""
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nabc'
+
+    async def run() -> bool:
+        closed = asyncio.Event()
+
+        async def answer(reader: asyncio.StreamReader, write: Write) -> None:
+            write(head)
+            await reader.read()
+            closed.set()
+
+        async with serving(answer) as address:
+            sent = await send(ConnectionPool(), address, GET, PATIENCE_S)
+            assert await anext(sent.unwrap().chunks()) == b'abc'
+            async with asyncio.timeout(PATIENCE_S):
+                await closed.wait()
+        return closed.is_set()
+
+    assert asyncio.run(run())
+
+
+@context.asynccontextmanager
+async def serving(answer: AnswerFunction) -> AsyncIterator[Address]:
+    """Serve every connection by one function on a free port."""
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        gone = (asyncio.IncompleteReadError, ConnectionError)
+        with context.suppress(*gone, asyncio.CancelledError):
+            await reader.readuntil(b'\r\n\r\n')
+            await answer(reader, writer.write)
+            await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, IP, 0)
+    yield Address(*server.sockets[0].getsockname())
+    server.close()
+
+
+def scripted(script: Script, pause_s: float = 0) -> AnswerFunction:
+    """Write each part of a script in turn."""
+
+    async def answer(reader: asyncio.StreamReader, write: Write) -> None:
+        for part in script:
+            if part is None:
+                await reader.read()
+                return
+            write(part)
+            await asyncio.sleep(pause_s)
+
+    return answer
+
+
+async def _call_scripted(case: Case) -> Result[JsonAnswer, CallFailure]:
+    async with serving(scripted(case.script)) as address:
+        pool = ConnectionPool()
+        told = await request_json(pool, address, case.request, case.timeout_s)
+        pool.close()
+    return told
