Tickets: one decision per request at its owner

Cause: a request that may not be repeated has to run at most once although its copies come doubled, late or after a restart, and the store can't take a write per request.

Change: an owner derives a key per epoch from a secret of its incarnation and hands it out as a grant; senders mint tickets from it. The owner decides each request id once, remembers refusals too, and forgets by epoch. A full table closes the epochs up to now, so what it refused stays refused though it is not remembered. `Unknown` gains a code: already_run, ticket_refused.

--- /dev/null
+++ b/carobmoor/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys of plain callers, kept in the table service."""
--- a/carobmoor/outcomes/_failures.py
+++ b/carobmoor/outcomes/_failures.py
@@ -71,16 +71,14 @@
     """The request may have run; only its caller may decide what to do.
 
     `step` and `peer` name where the call was lost, the peer as `ip:port`.
+    `code` tells more where more is known: `ALREADY_RUN` that it has run, and
+    `TICKET_REFUSED` that this copy of it did not.
     """
 
     step: str
     peer: str
     detail: str = ''
-
-    @property
-    def code(self) -> Code:
-        """The one code of this kind of failure."""
-        return Code.OUTCOME_UNKNOWN
+    code: Code = Code.OUTCOME_UNKNOWN
 
 
 Failure = NotRun | Unknown
--- a/carobmoor/outcomes/_wire.py
+++ b/carobmoor/outcomes/_wire.py
@@ -20,6 +20,7 @@
     request_id: str
 
 
+_CODES: Final = frozenset(Code)
 _decoder: Final = msgspec.json.Decoder(FailureDocument)
 
 
@@ -51,6 +52,11 @@
         document = _decoder.decode(body)
     except msgspec.DecodeError:
         return Unknown('awaiting_answer', peer, 'unreadable refusal')
+    is_unsolicited = not document['request_id']
+    if is_unsolicited and document['code'] == Code.LEAVING:
+        # A leaving node says so on an idle connection before it closes it;
+        # what was written there meanwhile is read by nobody.
+        return _failure_from(document)
     if document['request_id'] != request_id:
         return Unknown('awaiting_answer', peer, 'refusal of another request')
     return _failure_from(document)
@@ -59,8 +65,10 @@
 def _failure_from(document: FailureDocument) -> Failure:
     step = document['step']
     peer = document['peer']
-    if document['outcome'] != 'not_run':
-        return Unknown(step, peer, document['detail'])
-    known = document['code'] in set(Code)
-    code = Code(document['code']) if known else Code.BAD_REQUEST
-    return NotRun(code, step, peer, document['detail'])
+    is_not_run = document['outcome'] == 'not_run'
+    known = document['code'] in _CODES
+    if is_not_run:
+        code = Code(document['code']) if known else Code.BAD_REQUEST
+        return NotRun(code, step, peer, document['detail'])
+    code = Code(document['code']) if known else Code.OUTCOME_UNKNOWN
+    return Unknown(step, peer, document['detail'], code)
--- /dev/null
+++ b/carobmoor/tickets/__init__.py
@@ -0,0 +1,59 @@
+"""Requests that may not be repeated run at most once, by tickets.
+
+The owner of a backend server decides about each request id once and
+remembers the decision for as long as it accepts the ticket. The decisions are
+plain functions over `TicketTable` and a passed-in time.
+"""
+
+from carobmoor.tickets._decide import admit, advance, settle, told
+from carobmoor.tickets._messages import (
+    GRANT_HEADER,
+    REPEATABLE_HEADER,
+    TICKET_HEADER,
+    Grant,
+    KeptAnswer,
+    Presented,
+    Progress,
+    Ticket,
+    TicketPolicy,
+    decode_grant,
+    decode_ticket,
+    encode_grant,
+    encode_ticket,
+)
+from carobmoor.tickets._mint import mint
+from carobmoor.tickets._state import (
+    Decision,
+    Start,
+    TicketTable,
+    Told,
+    Verdict,
+    Wait,
+)
+
+__all__ = [
+    'GRANT_HEADER',
+    'REPEATABLE_HEADER',
+    'TICKET_HEADER',
+    'Decision',
+    'Grant',
+    'KeptAnswer',
+    'Presented',
+    'Progress',
+    'Start',
+    'Ticket',
+    'TicketPolicy',
+    'TicketTable',
+    'Told',
+    'Verdict',
+    'Wait',
+    'admit',
+    'advance',
+    'decode_grant',
+    'decode_ticket',
+    'encode_grant',
+    'encode_ticket',
+    'mint',
+    'settle',
+    'told',
+]
--- /dev/null
+++ b/carobmoor/tickets/_mint.py
@@ -0,0 +1,35 @@
+"""Minting tickets from a grant, and the keys that grants carry."""
+
+import base64
+import hashlib
+from typing import Final
+
+from carobmoor.tickets._messages import Grant, Ticket
+
+_MAC_BYTES: Final = 16
+
+
+def grant_key(secret: bytes, incarnation: str, epoch: int) -> str:
+    """Derive the key of one epoch from the secret of an incarnation."""
+    return _mac(secret, f'{incarnation} {epoch}')
+
+
+def mint(grant: Grant, request_id: str, service: str, attempt: int) -> Ticket:
+    """Make a ticket for one request without asking the owner."""
+    return Ticket(
+        grant.owner,
+        grant.incarnation,
+        grant.epoch,
+        attempt,
+        ticket_mac(grant.key, request_id, service, attempt),
+    )
+
+
+def ticket_mac(key: str, request_id: str, service: str, attempt: int) -> str:
+    """Bind a request to the epoch whose key this is."""
+    return _mac(key.encode(), f'{attempt} {service} {request_id}')
+
+
+def _mac(key: bytes, message: str) -> str:
+    keyed = hashlib.blake2b(message.encode(), key=key, digest_size=_MAC_BYTES)
+    return base64.urlsafe_b64encode(keyed.digest()).decode()
--- /dev/null
+++ b/carobmoor/tickets/tests/test_ticket_table.py
@@ -0,0 +1,217 @@
+"""At most one start per request, whatever is doubled, late, lost or full."""
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from nose2.tools import params
+
+from carobmoor.outcomes import Code, NotRun, Unknown
+from carobmoor.tickets import (
+    KeptAnswer,
+    Presented,
+    Start,
+    TicketPolicy,
+    TicketTable,
+    Told,
+    admit,
+    mint,
+    settle,
+)
+
+POLICY = TicketPolicy(
+    epoch_ms=1000,
+    epochs=3,
+    most_decisions=4,
+    most_answer_bytes=64,
+    most_kept_bytes=100,
+)
+REQUEST_IDS = tuple(f'request-{number}' for number in range(6))
+# Most are short; a long one ends every epoch.
+PAUSES_MS = (100, 100, 100, 100, 400, 400, 700, 1100, 10_000)
+ANSWERS = (
+    KeptAnswer(200, (), b'small'),
+    KeptAnswer(200, (), bytes(60)),
+    None,
+    NotRun(Code.QUEUE_FULL, 'admission', 'here'),
+    Unknown('awaiting_answer', 'there'),
+)
+
+
+class TicketMachine(RuleBasedStateMachine):
+    """One owner and its senders; every ticket ever minted may come again."""
+
+    def __init__(self):
+        """Start the owner and mint one ticket for each request."""
+        super().__init__()
+        self.now_s = float(0)
+        self.table = TicketTable('here', POLICY, self.now_s)
+        self.grant = self.table.grant(self.now_s)
+        self.last_sent = {}
+        self.sent = []
+        self.running = []
+        self.starts = Counter()
+        self.refused = {}
+        for request_id in REQUEST_IDS:
+            self.mint(request_id, 0)
+
+    @rule(places=st.lists(st.integers(0, 30), min_size=1, max_size=8))
+    def deliver(self, places):
+        """Let copies arrive: in order, late, doubled or never."""
+        for place in places:
+            request_id, ticket = self.sent[-1 - place % len(self.sent)]
+            presented = Presented(request_id, 'any', 'digest')
+            verdict = admit(self.table, ticket, presented, self.now_s)
+            if isinstance(verdict, Start):
+                self.start(request_id, ticket, verdict.decision)
+            elif isinstance(verdict, Told):
+                self.hear(request_id, ticket, verdict.outcome)
+
+    @rule(
+        place=st.integers(0, 30),
+        outcome=st.sampled_from(ANSWERS),
+        length_ms=st.sampled_from(PAUSES_MS),
+    )
+    def finish(self, place, outcome, length_ms):
+        """End one of the running requests after a while."""
+        self.now_s += length_ms / 1000
+        if not self.running:
+            return
+        ended = self.running.pop(place % len(self.running))
+        request_id, ticket, decision = ended
+        if isinstance(outcome, NotRun):
+            self.starts[request_id] -= 1
+            self.hear(request_id, ticket, outcome)
+        settle(self.table, decision, outcome)
+
+    @rule(is_stale=st.booleans(), place=st.integers(0, len(REQUEST_IDS) - 1))
+    def renew(self, is_stale, place):
+        """Let another request come up, perhaps with an old grant."""
+        if not is_stale:
+            self.grant = self.table.grant(self.now_s)
+        self.mint(f'{REQUEST_IDS[place]}-{len(self.sent)}', 0)
+
+    @rule(chance=st.integers(0, 9))
+    def restart(self, chance):
+        """Lose all that the owner knew, and what it ran."""
+        if chance:
+            return
+        self.table = TicketTable('here', POLICY, self.now_s)
+        self.running = []
+
+    def mint(self, request_id, attempt):
+        """Mint a ticket; its copies arrive later, if ever."""
+        ticket = mint(self.grant, request_id, 'any', attempt)
+        self.last_sent[request_id] = ticket
+        self.sent.append((request_id, ticket))
+
+    def start(self, request_id, ticket, decision):
+        """Note a start, which must not be of a refused ticket."""
+        refused = self.refused.get(request_id, -1)
+        assert ticket.attempt > refused, 'a refused request started'
+        self.starts[request_id] += 1
+        self.running.append((request_id, ticket, decision))
+
+    def hear(self, request_id, ticket, outcome):
+        """Let the sender learn of a verdict; "not run" lets it mint again."""
+        if not isinstance(outcome, NotRun):
+            return
+        assert not self.starts[request_id], 'not run was said of a started one'
+        refused = self.refused.get(request_id, -1)
+        self.refused[request_id] = max(refused, ticket.attempt)
+        if ticket == self.last_sent[request_id]:
+            self.grant = self.table.grant(self.now_s)
+            self.mint(request_id, ticket.attempt + 1)
+
+    @invariant()
+    def starts_at_most_once(self):
+        """No request was started twice."""
+        assert all(count <= 1 for count in self.starts.values())
+
+    @invariant()
+    def memory_is_bounded(self):
+        """Decisions and kept answers stay within the policy."""
+        assert len(self.table.decisions) <= POLICY.most_decisions
+        assert 0 <= self.table.kept_bytes <= POLICY.most_kept_bytes
+        assert len(self.table.epochs) <= 2 * (POLICY.epochs + 1)
+
+
+def test_tickets_start_at_most_once():
+    """Generated histories keep the invariants."""
+    machine = TicketMachine.TestCase
+    machine.settings = settings(
+        derandomize=True,
+        database=None,
+        max_examples=200,
+        stateful_step_count=60,
+        deadline=None,
+    )
+    machine().runTest()
+
+
+def table_and_grant():
+    """Make a table and a grant of its first epoch."""
+    table = TicketTable('here', POLICY, 0)
+    return table, table.grant(0)
+
+
+@params(
+    ('other service', Presented('a', 'other', 'digest')),
+    ('other request id', Presented('b', 'any', 'digest')),
+)
+def test_ticket_is_bound_to_its_request(_, presented):
+    """A ticket minted for one request runs no other."""
+    table, grant = table_and_grant()
+    told = admit(table, mint(grant, 'a', 'any', 0), presented, 0)
+    assert told.outcome.code is Code.TICKET_REFUSED
+    assert isinstance(told.outcome, Unknown)
+
+
+def test_future_epoch_is_refused():
+    """Only the owner can make the key of an epoch."""
+    table, grant = table_and_grant()
+    forged = mint(grant._replace(epoch=2), 'a', 'any', 0)
+    told = admit(table, forged, Presented('a', 'any', 'digest'), 1.5)
+    assert told.outcome.code is Code.TICKET_REFUSED
+
+
+def test_other_body_under_one_id_conflicts():
+    """A kept answer is never given to another request."""
+    table, grant = table_and_grant()
+    ticket = mint(grant, 'a', 'any', 0)
+    started = admit(table, ticket, Presented('a', 'any', 'digest'), 0)
+    settle(table, started.decision, ANSWERS[0])
+    same = admit(table, ticket, Presented('a', 'any', 'digest'), 0)
+    other = admit(table, ticket, Presented('a', 'any', 'else'), 0)
+    assert same.outcome == ANSWERS[0]
+    assert other.outcome.code is Code.CONFLICT
+
+
+def test_answer_too_large_is_already_run():
+    """A copy learns that the request ran, though not its answer."""
+    table, grant = table_and_grant()
+    ticket = mint(grant, 'a', 'any', 0)
+    presented = Presented('a', 'any', 'digest')
+    settle(table, admit(table, ticket, presented, 0).decision, None)
+    assert admit(table, ticket, presented, 0).outcome.code is Code.ALREADY_RUN
+
+
+def test_full_table_closes_its_epoch():
+    """What was refused while full stays refused when there is room."""
+    table, grant = table_and_grant()
+    for number in range(POLICY.most_decisions):
+        name = f'early-{number}'
+        ticket = mint(grant, name, 'any', 0)
+        settle(
+            table,
+            admit(table, ticket, Presented(name, 'any', ''), 0).decision,
+            None,
+        )
+    late = mint(grant, 'late', 'any', 0)
+    presented = Presented('late', 'any', '')
+    assert isinstance(admit(table, late, presented, 0).outcome, NotRun)
+    table.decisions.pop('early-0')
+    assert isinstance(admit(table, late, presented, 0).outcome, NotRun)
+    again = mint(table.grant(0), 'late', 'any', 1)
+    assert isinstance(admit(table, again, presented, 0), Start)
