Tickets on the whole path: library, forwarding node, owner

Cause: the table of decisions decides nothing until senders mint tickets and owners ask it.

Ruled out: asking the owner for a ticket per call (one more round trip); handing a ticket on from one owner to the next (the pointer would live in the owner that is about to leave; "not run" and a new ticket costs one bounce and leaves nothing to remember); binding the kept answer to the length of the body (a chunked copy of the same request would be taken for another).

Change: the library mints from a grant that answers renew and that is fetched at first contact only. A copy lost on the way is asked about once under the same ticket. "Not run" of a second copy of which no byte was written stays "unknown". GET, HEAD, OPTIONS, TRACE and what is marked x-carobmoor-repeatable go without.

Found on the way: a copy of which no byte was written was asked about again as if it had been lost (test_copy_not_sent_proves_nothing).

--- a/carobmoor/client/_dispatch.py
+++ b/carobmoor/client/_dispatch.py
@@ -18,6 +18,7 @@
     SERVICE_HEADER,
 )
 from carobmoor.client._messages import Call
+from carobmoor.client._once import TicketDesk, send_once
 from carobmoor.outcomes import (
     OUTCOME_HEADER,
     Code,
@@ -35,6 +36,14 @@
     decode_report,
     note_report,
 )
+from carobmoor.tickets import (
+    GRANT_HEADER,
+    REPEATABLE_HEADER,
+    TICKET_HEADER,
+    Ticket,
+    encode_ticket,
+    mint,
+)
 from carobmoor.transport import (
     Address,
     Answer,
@@ -60,6 +69,7 @@
         Code.DEADLINE_LAPSED,
         Code.UNKNOWN_RANK,
         Code.BODY_STALLED,
+        Code.CONFLICT,
         Code.HEADERS_TOO_LARGE,
     ),
 )
@@ -76,6 +86,7 @@
     ) -> None:
         """Bind the choice to the connections that carry it out."""
         self.routing = routing
+        self.desk = TicketDesk(pool)
         self._pool = pool
         self._rng = rng
 
@@ -95,6 +106,22 @@
                 break
         return Err(failure)
 
+    async def mint_for(
+        self,
+        service: str,
+        request_id: str,
+    ) -> Result[Ticket, Failure]:
+        """Choose an owner for a request and mint a ticket for it."""
+        now_s = time.monotonic()
+        chosen = choose(self.routing, service, (), now_s, self._rng)
+        if chosen is None:
+            return Err(NotRun(Code.NO_CANDIDATE, 'choice', service))
+        owner = chosen.candidate.address
+        grant = await self.desk.grant_of(owner)
+        if grant is None:
+            return Err(NotRun(Code.NOT_SENT, 'ticket', str(owner), 'no grant'))
+        return Ok(mint(grant, request_id, service, 0))
+
     async def _try_once(
         self,
         call: Call,
@@ -124,6 +151,23 @@
         call: Call,
         owner: Address,
         deadline_s: float,
+    ) -> Result[Answer, Failure]:
+        """Make one attempt at a call, under a ticket where it needs one."""
+        if call.repeatable:
+            return await self._send_copy(call, owner, deadline_s)
+        return await send_once(
+            self.desk,
+            call,
+            owner,
+            deadline_s,
+            self._send_copy,
+        )
+
+    async def _send_copy(
+        self,
+        call: Call,
+        owner: Address,
+        deadline_s: float,
     ) -> Result[Answer, Failure]:
         """Send a call to one owner and tell a refusal from an answer."""
         left_s = deadline_s - time.monotonic()
@@ -149,6 +193,7 @@
     ) -> Result[Answer, Failure]:
         headers = answer.head.headers
         self._note_report(call, answer)
+        self.desk.note(header_of(headers, GRANT_HEADER))
         if not header_of(headers, OUTCOME_HEADER.encode()):
             return _own_answer(call, answer)
         peer = str(answer.address)
@@ -202,12 +247,17 @@
         headers.append((CALLER_HEADER, call.caller.encode()))
     if call.depth:
         headers.append((DEPTH_HEADER, b'%d' % call.depth))
+    if call.ticket is not None:
+        headers.append((TICKET_HEADER, encode_ticket(call.ticket)))
+    elif call.repeatable:
+        headers.append((REPEATABLE_HEADER, b'true'))
     return (*headers, *call.headers)
 
 
 def _may_retry(call: Call, failure: Failure) -> bool:
-    # A streamed body is consumed by the first try.
-    if call.more_body is not None:
+    # A streamed body is consumed by the first try, and a ticket of the
+    # caller's own names the one owner.
+    if call.more_body is not None or call.ticket is not None:
         return False
     if isinstance(failure, Unknown):
         return call.repeatable
--- a/carobmoor/client/_messages.py
+++ b/carobmoor/client/_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
+from carobmoor.tickets import Ticket
 from carobmoor.transport import HeaderList
 
 
@@ -24,6 +25,8 @@
     request_id: str = ''
     depth: int = 0
     caller: str = ''
+    # The caller's own ticket; without one the library mints what it needs.
+    ticket: Ticket | None = None
 
 
 class CallAnswer(NamedTuple):
--- a/carobmoor/node/_context.py
+++ b/carobmoor/node/_context.py
@@ -16,9 +16,16 @@
     SERVICE_HEADER,
 )
 from carobmoor.outcomes import Code, NotRun
+from carobmoor.tickets import (
+    REPEATABLE_HEADER,
+    TICKET_HEADER,
+    Ticket,
+    decode_ticket,
+)
 
 _LONGEST_NAME: Final = 128
 _DEEPEST: Final = 64
+_SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE'))
 _LONGEST_DEADLINE_MS: Final = 86_400_000
 
 
@@ -38,6 +45,9 @@
     target: str
     # The declared length of the body; -1 when it is chunked, 0 when absent.
     body_bytes: int
+    # Whether running it twice does no harm.
+    is_repeatable: bool
+    ticket: Ticket | None
 
 
 def read_context(scope: Any, here: str) -> Result[RequestContext, NotRun]:
@@ -65,6 +75,8 @@
         scope['method'],
         target.decode('ascii'),
         _body_bytes(headers),
+        _is_repeatable(scope['method'], headers),
+        _ticket(headers),
     )
 
 
@@ -87,6 +99,20 @@
     return int(text)
 
 
+def _is_repeatable(method: str, headers: Mapping[bytes, bytes]) -> bool:
+    return method in _SAFE_METHODS or headers.get(REPEATABLE_HEADER) == b'true'
+
+
+def _ticket(headers: Mapping[bytes, bytes]) -> Ticket | None:
+    content = headers.get(TICKET_HEADER)
+    if content is None:
+        return None
+    ticket = decode_ticket(content)
+    if ticket is None:
+        raise ValueError(f'{TICKET_HEADER.decode()} is no ticket')
+    return ticket
+
+
 def _body_bytes(headers: Mapping[bytes, bytes]) -> int:
     if b'transfer-encoding' in headers:
         return -1
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -20,6 +20,7 @@
 )
 from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._state import NodeState
+from carobmoor.node._ticket_routes import route_tickets
 from carobmoor.outcomes import Code, NotRun, encode_failure, http_status_of
 
 _OK: Final = 200
@@ -60,6 +61,7 @@
     app = Application(show_error_details=False)
     _route_reads(app, node)
     _route_configuration(app, node)
+    route_tickets(app, node)
 
     async def drain(request: Request) -> Response:
         operator = _operator_of(node, request)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -17,6 +17,7 @@
 from carobmoor.node._body import BodyFault, Receive
 from carobmoor.node._context import RequestContext, read_context
 from carobmoor.node._exchange import Exchange
+from carobmoor.node._once import grant_headers, run_once
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
@@ -54,7 +55,7 @@
         if failure is not None:
             if not exchange.body.is_whole:
                 await exchange.body.discard()
-            extra = _own_headers(node)
+            extra = _own_headers(node, context)
             await send_failure(send, failure, context.request_id, extra)
 
     return serve
@@ -67,11 +68,26 @@
         await exchange.body.open()
     except BodyFault as fault:
         return NotRun(fault.code, 'read_request', node.here)
-    if exchange.context.service == node.service:
-        return await _own(node, exchange)
+    if _is_own(node, exchange.context):
+        return await run_once(node, exchange, _own)
     return await _forward(node, exchange)
 
 
+def _is_own(node: NodeState, context: RequestContext) -> bool:
+    """Tell whether a request is to run here, at its owner.
+
+    What comes from plain callers may be for another owner of the service:
+    the one that its ticket names, or any other while this node leaves.
+    """
+    if context.service != node.service:
+        return False
+    if context.owner:
+        return True
+    if context.ticket is not None:
+        return context.ticket.owner == node.here
+    return not node.gate.is_leaving
+
+
 async def _own(node: NodeState, exchange: Exchange) -> Failure | None:
     """Run a request on the backend server beside this node."""
     context = exchange.context
@@ -116,7 +132,7 @@
     exchange.note('backend server', 'answered', str(node.backend_server))
     extra = (
         (REQUEST_ID_HEADER, context.request_id.encode()),
-        *_own_headers(node),
+        *_own_headers(node, context),
     )
     await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
     return None
@@ -137,6 +153,8 @@
         request_id=context.request_id,
         depth=context.depth,
         caller=exchange.caller,
+        repeatable=context.is_repeatable,
+        ticket=context.ticket,
     )
     sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call)
     if isinstance(sent, Err):
@@ -172,8 +190,9 @@
     return failure
 
 
-def _own_headers(node: NodeState) -> HeaderList:
+def _own_headers(node: NodeState, context: RequestContext) -> HeaderList:
     headers = [(REPORT_HEADER, encode_report(node.report()))]
+    headers.extend(grant_headers(node, context))
     if node.gate.is_leaving:
         headers.append((b'connection', b'close'))
     return headers
--- /dev/null
+++ b/carobmoor/node/_once.py
@@ -0,0 +1,195 @@
+"""Running a request under its ticket, once, at its owner."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import msgspec
+import xxhash
+
+from carobmoor.client import REQUEST_ID_HEADER
+from carobmoor.node._context import RequestContext
+from carobmoor.node._exchange import Exchange
+from carobmoor.node._relay import Send, end_to_end
+from carobmoor.node._state import NodeState
+from carobmoor.outcomes import Failure, Unknown
+from carobmoor.tickets import (
+    GRANT_HEADER,
+    Decision,
+    KeptAnswer,
+    Presented,
+    Progress,
+    Start,
+    Ticket,
+    Told,
+    Wait,
+    admit,
+    advance,
+    encode_grant,
+    mint,
+    settle,
+    told,
+)
+from carobmoor.transport import AnswerBroken, HeaderList
+
+_STEP: Final = 'ticket'
+
+Run = Callable[[NodeState, Exchange], Awaitable[Failure | None]]
+
+
+class AnswerRecorder:
+    """Passes an answer on to the caller and keeps it when it is small."""
+
+    def __init__(self, send: Send, most_bytes: int) -> None:
+        """Record nothing yet."""
+        self._send = send
+        self._most_bytes = most_bytes
+        self._start: Any = None
+        self._body = bytearray()
+        self._is_whole = False
+        self._is_too_large = False
+
+    async def send(self, message: Any) -> None:
+        """Record one message of the answer, then pass it on."""
+        if message['type'] == 'http.response.start':
+            self._start = message
+        else:
+            self._record(message['body'], message['more_body'])
+        await self._send(message)
+
+    def answer(self) -> KeptAnswer | None:
+        """Give the whole answer; `None` when it was too large to keep."""
+        if not self._is_whole or self._is_too_large:
+            return None
+        headers = end_to_end(self._start['headers'])
+        status = self._start['status']
+        return KeptAnswer(status, headers, bytes(self._body))
+
+    def _record(self, chunk: bytes, more: bool) -> None:
+        self._is_whole = not more
+        if len(self._body) + len(chunk) > self._most_bytes:
+            self._is_too_large = True
+            self._body.clear()
+        if not self._is_too_large:
+            self._body.extend(chunk)
+
+
+async def run_once(
+    node: NodeState,
+    exchange: Exchange,
+    run: Run,
+) -> Failure | None:
+    """Run a request here, unless it is a copy of one decided before."""
+    context = exchange.context
+    if context.is_repeatable and context.ticket is None:
+        return await run(node, exchange)
+    presented = _presented(exchange)
+    now_s = time.monotonic()
+    ticket = context.ticket or _own_ticket(node, context, now_s)
+    verdict = admit(node.tickets, ticket, presented, now_s)
+    exchange.note(_STEP, type(verdict).__name__.lower())
+    if isinstance(verdict, Start):
+        return await _run_and_settle(node, exchange, run, verdict.decision)
+    if isinstance(verdict, Wait):
+        return await _share(node, exchange, verdict.decision)
+    return await _tell(exchange, verdict)
+
+
+def grant_headers(node: NodeState, context: RequestContext) -> HeaderList:
+    """Hand out a grant to a sender whose last one is growing old."""
+    ticket = context.ticket
+    if ticket is None or not context.owner:
+        return ()
+    now_s = time.monotonic()
+    advance(node.tickets, now_s)
+    grant = node.tickets.grant(now_s)
+    named = (ticket.incarnation, ticket.epoch)
+    if named == (grant.incarnation, grant.epoch):
+        return ()
+    return ((GRANT_HEADER, encode_grant(grant)),)
+
+
+async def _run_and_settle(
+    node: NodeState,
+    exchange: Exchange,
+    run: Run,
+    decision: Decision,
+) -> Failure | None:
+    most_bytes = node.tickets.policy.most_answer_bytes
+    recorder = AnswerRecorder(exchange.send, most_bytes)
+    exchange.send = recorder.send
+    outcome: KeptAnswer | Failure | None = Unknown(_STEP, node.here, 'cut off')
+    try:
+        failure = await run(node, exchange)
+        outcome = recorder.answer() if failure is None else failure
+    except AnswerBroken as broken:
+        lost = broken.failure
+        outcome = Unknown(lost.step.value, lost.peer, lost.reason)
+        raise
+    finally:
+        settle(node.tickets, decision, outcome)
+    return failure
+
+
+async def _share(
+    node: NodeState,
+    exchange: Exchange,
+    decision: Decision,
+) -> Failure | None:
+    waiter = asyncio.get_running_loop().create_future()
+    decision.waiters.append(waiter)
+    await asyncio.wait((waiter,), timeout=max(0, exchange.left_s))
+    if decision.progress is Progress.RUNNING:
+        decision.waiters.remove(waiter)
+        return Unknown(_STEP, node.here, 'it still runs')
+    return await _tell(exchange, told(node.tickets, decision))
+
+
+async def _tell(exchange: Exchange, verdict: Told) -> Failure | None:
+    outcome = verdict.outcome
+    if not isinstance(outcome, KeptAnswer):
+        return outcome
+    request_id = exchange.context.request_id.encode()
+    await exchange.send(
+        {
+            'type': 'http.response.start',
+            'status': outcome.status,
+            'headers': [*outcome.headers, (REQUEST_ID_HEADER, request_id)],
+        },
+    )
+    await exchange.send(
+        {
+            'type': 'http.response.body',
+            'body': outcome.body,
+            'more_body': False,
+        },
+    )
+    return None
+
+
+def _own_ticket(
+    node: NodeState,
+    context: RequestContext,
+    now_s: float,
+) -> Ticket:
+    """Mint for a caller without a ticket; a refused one may try again."""
+    table = node.tickets
+    advance(table, now_s)
+    known = table.decisions.get(context.request_id)
+    attempt = 0 if known is None else known.attempt + 1
+    grant = table.grant(now_s)
+    return mint(grant, context.request_id, context.service, attempt)
+
+
+def _presented(exchange: Exchange) -> Presented:
+    context = exchange.context
+    parts = (context.method, context.target, exchange.caller)
+    joined = msgspec.json.encode(parts)
+    is_whole = exchange.body.is_whole
+    return Presented(
+        context.request_id,
+        context.service,
+        xxhash.xxh3_128_hexdigest(joined),
+        xxhash.xxh3_128_hexdigest(exchange.body.first) if is_whole else '',
+    )
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -20,6 +20,7 @@
 from carobmoor.platform import Platform
 from carobmoor.routing import LoadReport
 from carobmoor.telemetry import NodeMetrics
+from carobmoor.tickets import TicketPolicy, TicketTable
 from carobmoor.transport import Address
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
@@ -52,6 +53,7 @@
         self.records = RecordState()
         self.objectives: Sequence[Objective] = ()
         self.gate = Gate(_NO_POLICY)
+        self.tickets = TicketTable(self.here, TicketPolicy(), time.monotonic())
         self.configuration = ConfigurationState(self._put_in_force)
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
--- /dev/null
+++ b/carobmoor/node/_ticket_routes.py
@@ -0,0 +1,77 @@
+"""The control paths that hand out grants and tickets."""
+
+import time
+import uuid
+from typing import Any, Final, NotRequired, TypedDict
+
+import msgspec
+from blacksheep import Application, Content, Request, Response
+from result import Err
+
+from carobmoor.node._state import NodeState
+from carobmoor.outcomes import (
+    Code,
+    Failure,
+    NotRun,
+    encode_failure,
+    http_status_of,
+)
+from carobmoor.tickets import advance, encode_ticket
+
+_OK: Final = 200
+_PREFIX: Final = '/_carobmoor'
+
+
+class WantedTicket(TypedDict):
+    """What a plain caller asks a ticket for."""
+
+    service: str
+    request_id: NotRequired[str]
+
+
+class MintedTicket(TypedDict):
+    """A ticket as its header carries it, and the request id it is for."""
+
+    request_id: str
+    ticket: str
+
+
+def route_tickets(app: Application, node: NodeState) -> None:
+    """Serve the grants of this node and tickets for plain callers."""
+
+    async def ticket_grant() -> Response:
+        now_s = time.monotonic()
+        advance(node.tickets, now_s)
+        return _json(node.tickets.grant(now_s))
+
+    async def ticket(request: Request) -> Response:
+        body = await request.read() or b''
+        try:
+            wanted = msgspec.json.decode(body, type=WantedTicket)
+        except msgspec.DecodeError as error:
+            detail = str(error)
+            return _refuse(
+                NotRun(Code.BAD_REQUEST, 'control', node.here, detail)
+            )
+        request_id = wanted.get('request_id') or uuid.uuid4().hex
+        minted = await node.dispatcher.mint_for(wanted['service'], request_id)
+        if isinstance(minted, Err):
+            return _refuse(minted.err_value)
+        told: MintedTicket = {
+            'request_id': request_id,
+            'ticket': encode_ticket(minted.ok_value).decode(),
+        }
+        return _json(told)
+
+    app.router.add_get(f'{_PREFIX}/ticket-grant', ticket_grant)
+    app.router.add_post(f'{_PREFIX}/tickets', ticket)
+
+
+def _refuse(failure: Failure) -> Response:
+    content = Content(b'application/json', encode_failure(failure, ''))
+    return Response(http_status_of(failure), content=content)
+
+
+def _json(document: Any) -> Response:
+    encoded = msgspec.json.encode(document)
+    return Response(_OK, content=Content(b'application/json', encoded))
--- a/carobmoor/tickets/__init__.py
+++ b/carobmoor/tickets/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from carobmoor.tickets._decide import admit, advance, settle, told
+from carobmoor.tickets._grants import GrantBook, SentTicket
 from carobmoor.tickets._messages import (
     GRANT_HEADER,
     REPEATABLE_HEADER,
@@ -37,9 +38,11 @@
     'TICKET_HEADER',
     'Decision',
     'Grant',
+    'GrantBook',
     'KeptAnswer',
     'Presented',
     'Progress',
+    'SentTicket',
     'Start',
     'Ticket',
     'TicketPolicy',
--- a/carobmoor/tickets/_decide.py
+++ b/carobmoor/tickets/_decide.py
@@ -98,7 +98,7 @@
     ticket: Ticket,
     presented: Presented,
 ) -> Verdict:
-    if known.presented != presented:
+    if not _is_same(known.presented, presented):
         detail = 'the request id belongs to another request'
         return Told(NotRun(Code.CONFLICT, _STEP, table.owner, detail))
     if known.progress is Progress.RUNNING:
@@ -181,6 +181,12 @@
     return hmac.compare_digest(wanted.encode(), ticket.mac.encode())
 
 
+def _is_same(known: Presented, presented: Presented) -> bool:
+    digests = {known.body_digest, presented.body_digest} - {''}
+    alike = known._replace(body_digest='') == presented._replace(body_digest='')
+    return alike and len(digests) <= 1
+
+
 def _unknown(table: TicketTable, detail: str) -> Told:
     return Told(Unknown(_STEP, table.owner, detail, Code.TICKET_REFUSED))
 
--- /dev/null
+++ b/carobmoor/tickets/_grants.py
@@ -0,0 +1,78 @@
+"""What a sender keeps: the grants of owners and the tickets it has sent."""
+
+import time
+from collections import OrderedDict
+from typing import Final
+
+from carobmoor.tickets._messages import Grant, Ticket
+from carobmoor.tickets._mint import mint
+
+_MS_PER_S: Final = 1000
+# A grant is used for this share of the time that its owner accepts it.
+_USED_SHARE: Final = 0.75
+_MOST_SENT: Final = 10_000
+_SENT_LIFETIME_S: Final = 60
+
+
+class SentTicket:
+    """A ticket under which copies of one request were sent."""
+
+    __slots__ = ('copies', 'is_refused', 'minted_at_s', 'ticket')
+
+    def __init__(self, ticket: Ticket, minted_at_s: float) -> None:
+        """Start with no copy sent."""
+        self.ticket = ticket
+        self.minted_at_s = minted_at_s
+        self.copies = 0
+        # Whether the owner's word on it was "not run".
+        self.is_refused = False
+
+
+class GrantBook:
+    """The grants by owner and the last ticket of each request sent lately."""
+
+    def __init__(self) -> None:
+        """Start without grants."""
+        self._grants: dict[str, tuple[Grant, float]] = {}
+        self._sent: OrderedDict[str, SentTicket] = OrderedDict()
+
+    def note_grant(self, grant: Grant, now_s: float) -> None:
+        """Keep a grant for as long as its tickets are surely accepted."""
+        lifetime_s = grant.lifetime_ms / _MS_PER_S
+        self._grants[grant.owner] = (grant, now_s + lifetime_s * _USED_SHARE)
+
+    def forget_grant(self, owner: str) -> None:
+        """Drop the grant of an owner that refused a ticket minted from it."""
+        self._grants.pop(owner, None)
+
+    def usable_grant(self, owner: str, now_s: float) -> Grant | None:
+        """Give the grant of an owner, unless it is too old."""
+        grant, until_s = self._grants.get(owner, (None, float(0)))
+        return grant if now_s < until_s else None
+
+    def last_sent(self, request_id: str) -> SentTicket | None:
+        """Give the last ticket of a request that was sent lately."""
+        sent = self._sent.get(request_id)
+        if (
+            sent is None
+            or time.monotonic() - sent.minted_at_s > _SENT_LIFETIME_S
+        ):
+            return None
+        return sent
+
+    def mint_next(
+        self,
+        grant: Grant,
+        request_id: str,
+        service: str,
+    ) -> SentTicket:
+        """Mint the next ticket of a request, and remember it."""
+        last = self.last_sent(request_id)
+        attempt = 0 if last is None else last.ticket.attempt + 1
+        ticket = mint(grant, request_id, service, attempt)
+        sent = SentTicket(ticket, time.monotonic())
+        self._sent[request_id] = sent
+        self._sent.move_to_end(request_id)
+        if len(self._sent) > _MOST_SENT:
+            self._sent.popitem(last=False)
+        return sent
--- a/carobmoor/tickets/_messages.py
+++ b/carobmoor/tickets/_messages.py
@@ -58,8 +58,10 @@
 
     request_id: str
     service: str
-    # The method, the target and the caller, with the body where it is whole.
+    # The method, the target and the caller.
     fingerprint: str
+    # Empty when the body was not at hand as a whole.
+    body_digest: str = ''
 
 
 class KeptAnswer(NamedTuple):
--- a/carobmoor/tickets/tests/test_ticket_table.py
+++ b/carobmoor/tickets/tests/test_ticket_table.py
@@ -188,6 +188,18 @@
     assert other.outcome.code is Code.CONFLICT
 
 
+@params(('', True), ('body', True), ('else', False))
+def test_body_not_at_hand_fits_any(digest, is_same):
+    """A streamed body can't be told from another; a whole one can."""
+    table, grant = table_and_grant()
+    ticket = mint(grant, 'a', 'any', 0)
+    first = Presented('a', 'any', 'digest', 'body')
+    settle(table, admit(table, ticket, first, 0).decision, ANSWERS[0])
+    copy = Presented('a', 'any', 'digest', digest)
+    outcome = admit(table, ticket, copy, 0).outcome
+    assert isinstance(outcome, KeptAnswer) == is_same
+
+
 def test_answer_too_large_is_already_run():
     """A copy learns that the request ran, though not its answer."""
     table, grant = table_and_grant()
