--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -18,6 +18,7 @@
 )
 from carobmoor.node._scope import refuse_stranger
 from carobmoor.node._state import NodeState
+from carobmoor.node._ticket_routes import route_tickets
 from carobmoor.outcomes import Code
 
 _PREFIX: Final = '/_carobmoor'
@@ -47,6 +48,7 @@
     _route_reads(app, node)
     route_configuration(app, node)
     route_peers(app, node)
+    route_tickets(app, node)
 
     async def drain(request: Request) -> Response:
         operator = operator_of(node, request)
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -21,6 +21,7 @@
 from carobmoor.platform import Platform
 from carobmoor.routing import LoadReport
 from carobmoor.telemetry import NodeMetrics
+from carobmoor.tickets import TicketPolicy, TicketTable
 from carobmoor.transport import Address
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
@@ -58,6 +59,7 @@
             ConfigurationState(self._put_in_force, self.service),
             gossip,
         )
+        self.tickets = TicketTable(self.here, TicketPolicy(), time.monotonic())
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
         self.target_s_by_rank: Mapping[str, float] = {}
