Hold off requests that crash the backend servers that run them

Cause: a request that kills its backend server, sent again through other nodes, takes one backend server down with each sending.

Change: a new slice `quarantine`. A connection that is lost with a request on it makes the node look whether its backend server still takes connections; if not, or if several were lost at once, each request in flight gets a mark. The other nodes of the service are told before the caller is answered, so that a caller's next sending meets the mark. A marked request runs alone, one at a time, on one node by rendezvous hash that it has not crashed yet; other nodes say "not run". A second crash quarantines it, and what ran beside it gets no mark. One answer clears a mark. Marks are sets of crash ids that only grow and merge to the same in any order, bounded in number and time. Operators list and clear them with their token (`carobmoor quarantine list|clear`).

--- a/carobmoor/admission/_gate.py
+++ b/carobmoor/admission/_gate.py
@@ -71,6 +71,14 @@
         finish(self.state, grant.number, service_time_s, now_s)
         self.pump()
 
+    def give_back(self, grant: Grant) -> None:
+        """Give back a slot that was not used, in place of `leave`.
+
+        Nothing is learned from it.
+        """
+        release(self.state, grant.number, time.monotonic())
+        self.pump()
+
     async def wait_idle(self) -> None:
         """Wait until nobody holds a slot or waits for one."""
         while self.state.in_flight_total or self.state.queued_total:
@@ -130,18 +138,13 @@
             return Err(refused)
         if grant.arrival.deadline_s <= time.monotonic():
             # The process stood still between the grant and this line.
-            self._give_back(grant)
+            self.give_back(grant)
             return Err(Code.DEADLINE_LAPSED)
         return Ok(grant)
 
     def _give_up(self, grant: Grant, waiting: Waiting) -> None:
         self._waiting.pop(grant.number, None)
         if grant.number in self.state.running:
-            self._give_back(grant)
+            self.give_back(grant)
         elif withdraw(self.state, grant.arrival.rank, grant.number):
             self.pump()
-
-    def _give_back(self, grant: Grant) -> None:
-        """Give back a slot that was never used; nothing is learned."""
-        release(self.state, grant.number, time.monotonic())
-        self.pump()
--- a/carobmoor/cli/_admin.py
+++ b/carobmoor/cli/_admin.py
@@ -44,7 +44,7 @@
         Args:
             node: A node's address as IP:PORT.
         """
-        print_json(_request(node, _GET, _CONFIGURATION).body)
+        print_json(request_node(node, _GET, _CONFIGURATION).body)
 
     def put(
         self,
@@ -113,7 +113,7 @@
             path: The configuration document, JSON with comments.
             node: A node's address as IP:PORT.
         """
-        answered = _request(node, _GET, _CONFIGURATION)
+        answered = request_node(node, _GET, _CONFIGURATION)
         current = answered.decode(dict[str, Any])['document']
         lines = difflib.unified_diff(
             _pretty(current),
@@ -130,7 +130,7 @@
         Args:
             node: A node's address as IP:PORT.
         """
-        print_json(_request(node, _GET, f'{_CONFIGURATION}/history').body)
+        print_json(request_node(node, _GET, f'{_CONFIGURATION}/history').body)
 
 
 def status(node: str) -> None:
@@ -139,7 +139,7 @@
     Args:
         node: A node's address as IP:PORT.
     """
-    print_json(_request(node, _GET, '/_carobmoor/status').body)
+    print_json(request_node(node, _GET, '/_carobmoor/status').body)
 
 
 def drain(node: str) -> None:
@@ -148,7 +148,7 @@
     Args:
         node: A node's address as IP:PORT.
     """
-    print_json(_request(node, 'POST', '/_carobmoor/drain').body)
+    print_json(request_node(node, 'POST', '/_carobmoor/drain').body)
 
 
 def call(
@@ -212,15 +212,16 @@
     if submission_id is not None:
         sys.stderr.write(f'submission id {submission_id}\n')
     body = msgspec.json.encode(submission)
-    print_json(_request(node, 'PUT', _CONFIGURATION, body).body)
+    print_json(request_node(node, 'PUT', _CONFIGURATION, body).body)
 
 
-def _request(
+def request_node(
     node: str,
     method: str,
     target: str,
     body: bytes = b'',
 ) -> JsonAnswer:
+    """Send one control request; prints why and exits when it fails."""
     return asyncio.run(_request_once(node, method, target, body))
 
 
--- a/carobmoor/cli/_main.py
+++ b/carobmoor/cli/_main.py
@@ -11,6 +11,7 @@
 
 from carobmoor.cli._admin import ConfigCommands, call, drain, status
 from carobmoor.cli._output import exit_with_faults, fail, print_json
+from carobmoor.cli._quarantine import QuarantineCommands
 from carobmoor.cli._report import ReportCommands, explain
 from carobmoor.configuration import (
     document_schema,
@@ -88,6 +89,7 @@
                 'config': ConfigCommands,
                 'report': ReportCommands,
                 'explain': explain,
+                'quarantine': QuarantineCommands,
                 'status': status,
                 'drain': drain,
                 'call': call,
--- a/carobmoor/configuration/__init__.py
+++ b/carobmoor/configuration/__init__.py
@@ -13,6 +13,7 @@
     admission_policy_of,
     document_schema,
     objectives_of,
+    quarantine_policy_of,
     validate_document,
 )
 from carobmoor.configuration._follow import (
@@ -70,6 +71,7 @@
     'make_change',
     'objectives_of',
     'publish',
+    'quarantine_policy_of',
     'read_commented',
     'read_head',
     'read_history',
--- a/carobmoor/configuration/_document.py
+++ b/carobmoor/configuration/_document.py
@@ -18,6 +18,7 @@
 )
 from carobmoor.burn import Objective
 from carobmoor.configuration._check import Fault, check_document
+from carobmoor.quarantine import QuarantinePolicy
 
 _STRICT: Final = ConfigDict(extra='forbid', strict=True)
 _DEFAULT_QUEUE_LIMIT: Final = 1000
@@ -58,6 +59,17 @@
     pause_bound_ms: NotRequired[Annotated[int, Field(ge=10, le=60_000)]]
 
 
+@with_config(_STRICT)
+class QuarantineDocument(TypedDict):
+    """How long requests that crash backend servers are held off."""
+
+    # How long a request that was there in one crash runs alone.
+    mark_ms: NotRequired[Annotated[int, Field(ge=1000, le=86_400_000)]]
+    # How long a request is refused after its second crash.
+    quarantine_ms: NotRequired[Annotated[int, Field(ge=1000, le=86_400_000)]]
+    most_marks: NotRequired[Annotated[int, Field(ge=1, le=10_000)]]
+
+
 @with_config(_STRICT)
 class ServiceDocument(TypedDict):
     """One service and the limits of each of its backend servers."""
@@ -73,6 +85,7 @@
     ]
     progress_least_bytes: NotRequired[Annotated[int, Field(ge=1, le=2**30)]]
     admission: NotRequired[AdmissionDocument]
+    quarantine: NotRequired[QuarantineDocument]
 
 
 @with_config(_STRICT)
@@ -135,6 +148,15 @@
     ]
 
 
+def quarantine_policy_of(
+    document: Document,
+    service: str,
+) -> QuarantinePolicy:
+    """Give the quarantine policy of a service; `KeyError` if undeclared."""
+    declared = document['services'][service]
+    return QuarantinePolicy(**declared.get('quarantine', {}))
+
+
 def _faults_across(document: Document) -> Sequence[Fault]:
     faults: list[Fault] = []
     names = [rank['name'] for rank in document['ranks']]
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -9,6 +9,7 @@
 from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._configure import route_configuration
 from carobmoor.node._peers import route_peers
+from carobmoor.node._quarantine import route_quarantine
 from carobmoor.node._replies import (
     OK,
     as_json,
@@ -46,6 +47,7 @@
     _route_reads(app, node)
     route_configuration(app, node)
     route_peers(app, node)
+    route_quarantine(app, node)
 
     async def drain(request: Request) -> Response:
         operator = operator_of(node, request)
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -65,6 +65,7 @@
         ),
         asyncio.create_task(node.gossip.run()),
         asyncio.create_task(node.gate.watch()),
+        asyncio.create_task(node.quarantine.spread.run()),
     ]
     if node.pools.certificate is not None:
         watched = watch_certificate(node.pools.certificate)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -17,12 +17,15 @@
 from carobmoor.node._body import BodyFault, Receive
 from carobmoor.node._context import RequestContext, read_context
 from carobmoor.node._exchange import Exchange
+from carobmoor.node._guard import note_lost, suspect_of
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from carobmoor.quarantine import Permit
 from carobmoor.routing import REPORT_HEADER, encode_report
 from carobmoor.transport import (
     Answer,
+    AnswerBroken,
     HeaderList,
     OutgoingRequest,
 )
@@ -82,21 +85,48 @@
         context.depth,
         exchange.deadline_s,
     )
+    permitted = await node.quarantine.enter(
+        suspect_of(exchange),
+        exchange.left_s,
+    )
+    if isinstance(permitted, Err):
+        return permitted.err_value
+    try:
+        return await _admit(node, exchange, arrival, permitted.ok_value)
+    finally:
+        node.quarantine.leave(permitted.ok_value)
+
+
+async def _admit(
+    node: NodeState,
+    exchange: Exchange,
+    arrival: Arrival,
+    permit: Permit,
+) -> Failure | None:
     exchange.note('admission', 'asked', arrival.rank)
     entered = await node.gate.enter(arrival)
     if isinstance(entered, Err):
         return NotRun(entered.err_value, 'admission', node.here)
+    marked = node.quarantine.recheck(permit)
+    if marked is not None:
+        node.gate.give_back(entered.ok_value)
+        return marked
     started_s = time.monotonic()
     exchange.queued_s = started_s - exchange.started_s
     exchange.note('admission', 'started')
+    node.quarantine.start(permit)
     try:
-        return await _run(node, exchange)
+        return await _run(node, exchange, permit)
     finally:
         exchange.served_s = time.monotonic() - started_s
         node.gate.leave(entered.ok_value, exchange.served_s)
 
 
-async def _run(node: NodeState, exchange: Exchange) -> Failure | None:
+async def _run(
+    node: NodeState,
+    exchange: Exchange,
+    permit: Permit,
+) -> Failure | None:
     context = exchange.context
     request = OutgoingRequest(
         context.method,
@@ -112,13 +142,19 @@
         exchange.left_s,
     )
     if isinstance(sent, Err):
+        await note_lost(node, exchange, permit, sent.err_value)
         return _lost(exchange, failure_of(sent.err_value))
     exchange.note('backend server', 'answered', str(node.backend_server))
     extra = (
         (REQUEST_ID_HEADER, context.request_id.encode()),
         *_own_headers(node),
     )
-    await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
+    try:
+        await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
+    except AnswerBroken as broken:
+        await note_lost(node, exchange, permit, broken.failure)
+        raise
+    await node.quarantine.answered(permit)
     return None
 
 
--- /dev/null
+++ b/carobmoor/node/_guard.py
@@ -0,0 +1,40 @@
+"""Running a request under quarantine, on the backend server beside the node."""
+
+from typing import Final
+
+from carobmoor.node._exchange import Exchange
+from carobmoor.node._state import NodeState
+from carobmoor.quarantine import Permit, Suspect
+from carobmoor.transport import CallFailure, header_of, proves_not_run
+
+_IDEMPOTENCY_KEY: Final = b'idempotency-key'
+
+
+def suspect_of(exchange: Exchange) -> Suspect:
+    """Describe a request by what tells it from others."""
+    context = exchange.context
+    return Suspect(
+        context.service,
+        context.method,
+        context.target,
+        exchange.caller,
+        header_of(exchange.headers, _IDEMPOTENCY_KEY),
+        exchange.body.first,
+        context.body_bytes,
+    )
+
+
+async def note_lost(
+    node: NodeState,
+    exchange: Exchange,
+    permit: Permit,
+    failure: CallFailure,
+) -> None:
+    """Tell quarantine of a connection that the backend server lost.
+
+    A call that ran out of time, whose caller broke off, or of which nothing
+    was written, tells nothing of the backend server.
+    """
+    is_own_fault = exchange.body.fault is not None or exchange.left_s <= 0
+    if not is_own_fault and not proves_not_run(failure):
+        await node.quarantine.lost(permit)
--- a/carobmoor/node/_peers.py
+++ b/carobmoor/node/_peers.py
@@ -23,6 +23,7 @@
     is_signed,
 )
 from carobmoor.node._state import NodeState
+from carobmoor.quarantine import MARKS_TARGET
 
 _OK: Final = 200
 _NOT_MODIFIED: Final = 304
@@ -53,7 +54,11 @@
     def pieces(body: bytes) -> bytes:
         return answer_pieces(node.configuration.state, body)
 
+    def marks(body: bytes) -> bytes:
+        return node.quarantine.spread.answer(body)
+
     answers = {
+        MARKS_TARGET: marks,
         f'{_PREFIX}/gossip/digests': digests,
         f'{_PREFIX}/gossip/members': gossip,
         SINCE_TARGET: since,
--- /dev/null
+++ b/carobmoor/node/_quarantine.py
@@ -0,0 +1,44 @@
+"""The control paths by which operators see and clear marks of requests."""
+
+import time
+from typing import Final
+
+from blacksheep import Application, Request, Response
+
+from carobmoor.node._replies import (
+    OK,
+    as_json,
+    operator_of,
+    refuse,
+    unauthorised,
+)
+from carobmoor.node._state import NodeState
+from carobmoor.outcomes import Code
+from carobmoor.quarantine import list_marks
+from carobmoor.telemetry import logger_for
+
+_PATH: Final = '/_carobmoor/quarantine'
+_log = logger_for('quarantine')
+
+
+def route_quarantine(app: Application, node: NodeState) -> None:
+    """Serve the list of marks, and their clearing."""
+
+    async def listed(request: Request) -> Response:
+        if not operator_of(node, request):
+            return unauthorised(node)
+        marks = list_marks(node.quarantine.state, time.monotonic())
+        return as_json(OK, [mark._asdict() for mark in marks])
+
+    async def clear(request: Request, fingerprint: str) -> Response:
+        operator = operator_of(node, request)
+        if not operator:
+            return unauthorised(node)
+        cleared = await node.quarantine.clear(fingerprint)
+        if cleared is None:
+            return refuse(node, Code.NOT_FOUND, 'no mark of this request')
+        _log.info('Operator cleared.', mark=fingerprint, operator=operator)
+        return as_json(OK, cleared._asdict())
+
+    app.router.add_get(_PATH, listed)
+    app.router.add_delete(f'{_PATH}/{{fingerprint}}', clear)
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -1,5 +1,6 @@
 """The state of a node that its parts share."""
 
+import random
 import time
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -12,18 +13,27 @@
     ConfigurationState,
     admission_policy_of,
     objectives_of,
+    quarantine_policy_of,
 )
 from carobmoor.explain import RecordState
-from carobmoor.membership import Gossip
+from carobmoor.membership import Gossip, Standing
 from carobmoor.node._follow import make_follower
 from carobmoor.node._pools import Pools
 from carobmoor.node._settings import Settings
 from carobmoor.platform import Platform
+from carobmoor.quarantine import (
+    MARKS_TARGET,
+    Neighbours,
+    Quarantine,
+    QuarantineState,
+    Spread,
+)
 from carobmoor.routing import LoadReport
 from carobmoor.telemetry import NodeMetrics
-from carobmoor.transport import Address
+from carobmoor.transport import Address, parse_address
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
+_MAY_RUN: Final = frozenset((Standing.ALIVE, Standing.SUSPECT))
 _MS_PER_S: Final = 1000
 _US_PER_S: Final = 1_000_000
 
@@ -53,6 +63,16 @@
         self.records = RecordState()
         self.objectives: Sequence[Objective] = ()
         self.gate = Gate(_NO_POLICY)
+        self.quarantine = Quarantine(
+            self.here,
+            self.backend_server,
+            Spread(
+                QuarantineState(),
+                Neighbours(self.here, self._nodes_of_service),
+                self._ask_marks,
+                random.Random(),
+            ),
+        )
         self.configuration = make_follower(
             platform,
             ConfigurationState(self._put_in_force, self.service),
@@ -84,6 +104,19 @@
         took_s = time.monotonic() - started_s
         self.metrics.count_request(service, rank, outcome, took_s)
 
+    def _nodes_of_service(self) -> Sequence[str]:
+        """Give the nodes that may run requests of this node's service."""
+        return [
+            member.address
+            for member in self.gossip.state.of_service(self.service)
+            if member.standing in _MAY_RUN
+        ]
+
+    async def _ask_marks(self, node: str, body: bytes) -> bytes | None:
+        """Exchange marks with another node of the service."""
+        address = parse_address(node)
+        return await self.gossip.peers.post(address, MARKS_TARGET, body)
+
     def _put_in_force(self, accepted: Accepted) -> None:
         document = accepted.document
         names = [rank['name'] for rank in document['ranks']]
@@ -99,4 +132,8 @@
         if self.service in document['services']:
             policy = admission_policy_of(document, self.service)
             self.gate.state.replace_policy(policy)
+            self.quarantine.state.policy = quarantine_policy_of(
+                document,
+                self.service,
+            )
             self.gate.pump()
--- /dev/null
+++ b/carobmoor/quarantine/__init__.py
@@ -0,0 +1,55 @@
+"""Requests that crash the backend servers that run them.
+
+When a backend server dies, each request that it ran gets a mark. A marked
+request runs alone and on one fixed owner; after a second crash it is
+quarantined for a bounded time. One success takes a mark away.
+
+The decisions are plain functions over `QuarantineState` and a passed-in
+time; `Quarantine` watches one backend server and tells the other nodes.
+"""
+
+from carobmoor.quarantine._decide import (
+    absolve,
+    blame,
+    expire,
+    judge,
+    list_marks,
+    owner_of,
+)
+from carobmoor.quarantine._fingerprint import Suspect, fingerprint_of
+from carobmoor.quarantine._messages import (
+    Mark,
+    Position,
+    QuarantinePolicy,
+    Ruling,
+    decode_marks,
+    encode_marks,
+)
+from carobmoor.quarantine._spread import MARKS_TARGET, Neighbours, Spread
+from carobmoor.quarantine._state import QuarantineState, export, merge
+from carobmoor.quarantine._watch import Permit, Quarantine
+
+__all__ = [
+    'MARKS_TARGET',
+    'Mark',
+    'Neighbours',
+    'Permit',
+    'Position',
+    'Quarantine',
+    'QuarantinePolicy',
+    'QuarantineState',
+    'Ruling',
+    'Spread',
+    'Suspect',
+    'absolve',
+    'blame',
+    'decode_marks',
+    'encode_marks',
+    'expire',
+    'export',
+    'fingerprint_of',
+    'judge',
+    'list_marks',
+    'merge',
+    'owner_of',
+]
--- /dev/null
+++ b/carobmoor/quarantine/_spread.py
@@ -0,0 +1,110 @@
+"""Telling the other nodes of a service of marks, and hearing from them."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final, NamedTuple
+
+import msgspec
+
+from carobmoor.quarantine._decide import expire
+from carobmoor.quarantine._messages import Mark, decode_marks, encode_marks
+from carobmoor.quarantine._state import QuarantineState, export, merge
+from carobmoor.telemetry import logger_for
+
+MARKS_TARGET: Final = '/_carobmoor/quarantine/marks'
+_EXCHANGE_INTERVAL_S: Final = 5
+_EXCHANGE_TIMEOUT_S: Final = 0.5
+_MOST_PUSHES: Final = 64
+_MOST_MESSAGE_BYTES: Final = 4_194_304
+_log = logger_for('quarantine')
+
+Ask = Callable[[str, bytes], Awaitable[bytes | None]]
+
+
+class Neighbours(NamedTuple):
+    """This node, and the way to learn of all nodes of its service."""
+
+    here: str
+    nodes: Callable[[], Sequence[str]]
+
+    def others(self) -> Sequence[str]:
+        """Give the other nodes of the service."""
+        return [node for node in self.nodes() if node != self.here]
+
+
+class Spread:
+    """The exchange of marks between the nodes of one service.
+
+    `ask` sends a message to one node and gives its answer, or `None`.
+    """
+
+    def __init__(
+        self,
+        state: QuarantineState,
+        neighbours: Neighbours,
+        ask: Ask,
+        rng: random.Random,
+    ) -> None:
+        """Bind the marks to the way in which messages travel."""
+        self.state = state
+        self.neighbours = neighbours
+        self._ask = ask
+        self._rng = rng
+
+    def hear(self, body: bytes) -> None:
+        """Take in a message of marks; a malformed one changes nothing."""
+        if len(body) > _MOST_MESSAGE_BYTES:
+            _log.warning('Marks too large.', size_bytes=len(body))
+            return
+        try:
+            marks = decode_marks(body)
+        except msgspec.DecodeError as error:
+            _log.warning('Marks not readable.', reason=str(error))
+            return
+        if merge(self.state, marks, time.monotonic()):
+            _log.info('Marks heard.', known=len(self.state.marks))
+
+    def answer(self, body: bytes) -> bytes:
+        """Take in a message of another node and answer with all marks."""
+        self.hear(body)
+        return encode_marks(self.known())
+
+    def known(self) -> Sequence[Mark]:
+        """Give all marks, the cleared among them."""
+        return export(self.state, time.monotonic())
+
+    async def tell(self, marks: Sequence[Mark]) -> None:
+        """Tell the other nodes of the service at once."""
+        now_s = time.monotonic()
+        wanted = {mark.fingerprint for mark in marks}
+        body = encode_marks(
+            [
+                mark
+                for mark in export(self.state, now_s)
+                if mark.fingerprint in wanted
+            ],
+        )
+        others = self.neighbours.others()
+        if len(others) > _MOST_PUSHES:
+            others = self._rng.sample(others, _MOST_PUSHES)
+        await asyncio.gather(*(self._exchange(other, body) for other in others))
+
+    async def run(self) -> None:
+        """Exchange marks with one other node at a time until cancelled."""
+        while True:
+            await asyncio.sleep(_EXCHANGE_INTERVAL_S)
+            expire(self.state, time.monotonic())
+            others = self.neighbours.others()
+            if others:
+                told = encode_marks(self.known())
+                await self._exchange(self._rng.choice(others), told)
+
+    async def _exchange(self, node: str, body: bytes) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_EXCHANGE_TIMEOUT_S):
+                answered = await self._ask(node, body)
+                if answered is not None:
+                    self.hear(answered)
--- /dev/null
+++ b/carobmoor/quarantine/tests/test_watch.py
@@ -0,0 +1,167 @@
+"""What one node holds against whom when its backend server dies."""
+
+import asyncio
+import random
+
+from carobmoor.outcomes import Code
+from carobmoor.quarantine import (
+    Neighbours,
+    Quarantine,
+    QuarantineState,
+    Spread,
+    Suspect,
+    fingerprint_of,
+    merge,
+)
+from carobmoor.transport import Address
+from tests.fixtures import asynchronous
+
+HERE = '127.0.0.1:7101'
+PATIENCE_S = 60
+
+
+def suspect(name):
+    """Make a request that differs by its route."""
+    return Suspect('bookings', 'POST', f'/{name}', 'depot', '', b'', 0)
+
+
+async def nobody_answers(node, body):
+    """Be a network on which no other node answers."""
+
+
+class Watched:
+    """A quarantine beside a listener that can be made to go away."""
+
+    async def __aenter__(self):
+        """Listen as a backend server would."""
+        self.server = await asyncio.start_server(
+            lambda _, writer: writer.close(),
+            '127.0.0.1',
+            0,
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        spread = Spread(
+            QuarantineState(),
+            Neighbours(HERE, lambda: (HERE,)),
+            nobody_answers,
+            random.Random(1),
+        )
+        backend_server = Address('127.0.0.1', port)
+        self.quarantine = Quarantine(HERE, backend_server, spread)
+        return self
+
+    async def __aexit__(self, *_):
+        """Stop listening."""
+        await self.die()
+
+    async def die(self):
+        """Refuse connections from now on."""
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def start(self, name):
+        """Let a request in and start it."""
+        entered = await self.quarantine.enter(suspect(name), PATIENCE_S)
+        permit = entered.unwrap()
+        self.quarantine.start(permit)
+        return permit
+
+    def crashes(self, name):
+        """Count what is held against a request."""
+        mark = self.quarantine.state.marks.get(fingerprint_of(suspect(name)))
+        return 0 if mark is None else len(mark.open_crashes)
+
+
+@asynchronous
+async def test_all_in_flight_are_marked_once():
+    """A dead backend server marks what ran, however its end is noticed."""
+    async with Watched() as watched:
+        permits = [await watched.start(name) for name in 'abc']
+        await watched.die()
+        await watched.quarantine.lost(permits[0])
+        await asyncio.gather(*map(watched.quarantine.lost, permits[1:]))
+        assert [watched.crashes(name) for name in 'abc'] == [1, 1, 1]
+
+
+@asynchronous
+async def test_one_lost_connection_is_no_crash():
+    """A connection lost while the backend server lives marks nobody."""
+    async with Watched() as watched:
+        permit = await watched.start('a')
+        await watched.quarantine.lost(permit)
+        assert watched.crashes('a') == 0
+
+
+@asynchronous
+async def test_several_lost_at_once_are_a_crash():
+    """A backend server that is back at once has died all the same."""
+    async with Watched() as watched:
+        permits = [await watched.start(name) for name in 'ab']
+        idle = await watched.start('idle')
+        await asyncio.gather(*map(watched.quarantine.lost, permits))
+        watched.quarantine.leave(idle)
+        assert watched.crashes('a') == watched.crashes('b') == 1
+        assert watched.crashes('idle') == 0
+
+
+@asynchronous
+async def test_known_suspect_takes_the_blame():
+    """What ran beside a marked request gets no mark of the second crash."""
+    async with Watched() as watched:
+        first = await watched.start('bad')
+        await watched.die()
+        await watched.quarantine.lost(first)
+        watched.quarantine.leave(first)
+        again = await watched.start('bad')
+        beside = await watched.start('good')
+        await watched.quarantine.lost(again)
+        await watched.quarantine.lost(beside)
+        watched.quarantine.leave(again)
+        assert watched.crashes('bad') == 2
+        assert watched.crashes('good') == 0
+        refused = await watched.quarantine.enter(suspect('bad'), PATIENCE_S)
+        assert refused.unwrap_err().code is Code.QUARANTINED
+
+
+@asynchronous
+async def test_marked_run_one_at_a_time():
+    """A second marked request waits; when the first succeeds it is free."""
+    async with Watched() as watched:
+        permits = [await watched.start(name) for name in 'ab']
+        await watched.die()
+        await asyncio.gather(*map(watched.quarantine.lost, permits))
+        for permit in permits:
+            watched.quarantine.leave(permit)
+        alone = await watched.start('a')
+        other = asyncio.create_task(watched.start('b'))
+        late = await watched.quarantine.enter(suspect('b'), 0.01)
+        assert late.unwrap_err().code is Code.QUARANTINED
+        assert not other.done()
+        await watched.quarantine.answered(alone)
+        watched.quarantine.leave(alone)
+        watched.quarantine.leave(await other)
+        assert watched.crashes('a') == 0
+        assert watched.crashes('b') == 1
+
+
+@asynchronous
+async def test_marked_while_queued_is_refused():
+    """A request that was marked in the queue doesn't run unguarded."""
+    async with Watched() as watched:
+        queued = await watched.start('a')
+        other = await watched.start('b')
+        assert watched.quarantine.recheck(queued) is None
+        await watched.die()
+        await watched.quarantine.lost(other)
+        refused = watched.quarantine.recheck(queued)
+        assert refused.code is Code.QUARANTINED
+
+
+@asynchronous
+async def test_unreadable_marks_change_nothing():
+    """A malformed message is ignored."""
+    async with Watched() as watched:
+        for body in (b'', b'{}', b'[1]', b'[["x"]]'):
+            watched.quarantine.spread.hear(body)
+        assert not watched.quarantine.state.marks
+        assert not merge(watched.quarantine.state, (), 0)
--- /dev/null
+++ b/tests/test_crash_request.py
@@ -0,0 +1,86 @@
+"""A request that crashes backend servers, sent again through every node."""
+
+import asyncio
+
+from carobmoor import Call, Client, Code, NotRun
+from stand_ins.deployment import Place
+from tests.fixtures import asynchronous, client_of, running
+
+PLACES = tuple(
+    Place('bookings', 'lagos', zone, service_ms=20)
+    for zone in ('lagos-a', 'lagos-b', 'lagos-a', 'lagos-b')
+)
+CRASHING = Call(
+    'bookings',
+    'POST',
+    '/crash',
+    b'bad',
+    headers=((b'x-crash', b'1'),),
+    rank='booking',
+)
+TRIES = 12
+
+
+@asynchronous
+async def test_two_backend_servers_go_down_at_most():
+    """The caller's later tries are refused, and those beside it go on."""
+    async with (
+        running(*PLACES) as deployment,
+        client_of(deployment) as client,
+    ):
+        steady = asyncio.create_task(send_steadily(client))
+        failures = await send_again_and_again(client)
+        steady.cancel()
+        await asyncio.gather(steady, return_exceptions=True)
+        dead = [
+            pair.name
+            for pair in deployment.pairs
+            if deployment.processes[f'backend {pair.name}'].returncode
+            is not None
+        ]
+        listed = [
+            await deployment.ask(pair.node, 'GET', '/_carobmoor/quarantine')
+            for pair in deployment.pairs
+        ]
+        quarantined = [
+            mark for told in listed for mark in told if crashes_of(mark) >= 2
+        ]
+        expected = ['/crash' for _ in deployment.pairs]
+        assert len(dead) == 2, dead
+        assert [mark['route'] for mark in quarantined] == expected
+        last = failures[-1]
+        assert isinstance(last, NotRun)
+        assert last.code is Code.QUARANTINED
+        await clear(deployment, quarantined[0]['fingerprint'])
+
+
+async def send_again_and_again(client: Client) -> list:
+    """Send the crashing request until it is refused for good."""
+    failures = []
+    for _ in range(TRIES):
+        called = await client.call(CRASHING)
+        failures.append(called.unwrap_err())
+    return failures
+
+
+async def send_steadily(client: Client) -> None:
+    """Keep other requests in flight, each its own."""
+    number = 0
+    while True:
+        number += 1
+        call = Call('bookings', 'POST', f'/{number}', b'x', rank='booking')
+        await asyncio.gather(client.call(call), asyncio.sleep(0.005))
+
+
+async def clear(deployment, fingerprint: str) -> None:
+    """Clear the mark at one node; every node forgets it."""
+    path = f'/_carobmoor/quarantine/{fingerprint}'
+    await deployment.ask(deployment.pairs[3].node, 'DELETE', path)
+    for pair in deployment.pairs:
+        told = await deployment.ask(pair.node, 'GET', '/_carobmoor/quarantine')
+        assert fingerprint not in {mark['fingerprint'] for mark in told}
+
+
+def crashes_of(mark) -> int:
+    """Count the crashes that are held against a request."""
+    return len(set(mark['crash_ids']) - set(mark['cleared_ids']))
