--- a/carobmoor/configuration/_document.py
+++ b/carobmoor/configuration/_document.py
@@ -11,9 +11,14 @@
 from result import Err, Ok, Result
 from typing_extensions import TypedDict
 
-from carobmoor.admission import AdmissionPolicy, RankPolicy
+from carobmoor.admission import (
+    AdmissionPolicy,
+    AdmissionTuning,
+    RankPolicy,
+)
 from carobmoor.burn import Objective
 from carobmoor.configuration._check import Fault, check_document
+from carobmoor.quarantine import QuarantinePolicy
 
 _STRICT: Final = ConfigDict(extra='forbid', strict=True)
 _DEFAULT_QUEUE_LIMIT: Final = 1000
@@ -40,6 +45,31 @@
     objective: NotRequired[Annotated[float, Field(gt=0, lt=1)]]
 
 
+@with_config(_STRICT)
+class AdmissionDocument(TypedDict):
+    """How the nodes of a service follow their backend servers."""
+
+    # The adaptive limit on requests in flight never falls below this.
+    least_slots: NotRequired[Annotated[int, Field(ge=1, le=10_000)]]
+    # How much unused share a rank may save up, as time at that share.
+    share_burst_ms: NotRequired[Annotated[int, Field(ge=1, le=60_000)]]
+    # A backend server is slow beyond this multiple of its usual service time.
+    slowdown_ratio: NotRequired[Annotated[float, Field(ge=1.1, le=100)]]
+    # A longer stop of a node's event loop is logged as a pause.
+    pause_bound_ms: NotRequired[Annotated[int, Field(ge=10, le=60_000)]]
+
+
+@with_config(_STRICT)
+class QuarantineDocument(TypedDict):
+    """How long requests that crash backend servers are held off."""
+
+    # How long a request that was there in one crash runs alone.
+    mark_ms: NotRequired[Annotated[int, Field(ge=1000, le=86_400_000)]]
+    # How long a request is refused after its second crash.
+    quarantine_ms: NotRequired[Annotated[int, Field(ge=1000, le=86_400_000)]]
+    most_marks: NotRequired[Annotated[int, Field(ge=1, le=10_000)]]
+
+
 @with_config(_STRICT)
 class ServiceDocument(TypedDict):
     """One service and the limits of each of its backend servers."""
@@ -54,6 +84,8 @@
         Annotated[int, Field(ge=100, le=3_600_000)]
     ]
     progress_least_bytes: NotRequired[Annotated[int, Field(ge=1, le=2**30)]]
+    admission: NotRequired[AdmissionDocument]
+    quarantine: NotRequired[QuarantineDocument]
 
 
 @with_config(_STRICT)
@@ -98,7 +130,8 @@
         for rank in document['ranks']
     )
     queue_limit = declared.get('queue_limit', _DEFAULT_QUEUE_LIMIT)
-    return AdmissionPolicy(declared['slots'], queue_limit, ranks)
+    tuning = AdmissionTuning(**declared.get('admission', {}))
+    return AdmissionPolicy(declared['slots'], queue_limit, ranks, tuning)
 
 
 def objectives_of(
@@ -118,6 +151,15 @@
     ]
 
 
+def quarantine_policy_of(
+    document: Document,
+    service: str,
+) -> QuarantinePolicy:
+    """Give the quarantine policy of a service; `KeyError` if undeclared."""
+    declared = document['services'][service]
+    return QuarantinePolicy(**declared.get('quarantine', {}))
+
+
 def _faults_across(document: Document) -> Sequence[Fault]:
     faults: list[Fault] = []
     names = [rank['name'] for rank in document['ranks']]
