Write histories, and judge them by the promises

Cause: a promise that spans a caller, a node, a backend server and the store can only be judged over what all of them did.

Change: carobmoor.history, a recorder that the library, the node and the stand-ins write with (JSON lines, one file a process, off unless `history_path` names one; each event is one appending write, so that a killed process leaves whole lines). proofs/ reads histories, merges them by CLOCK_MONOTONIC (common to the processes of one machine; histories of two machines can't be merged so) and judges them by 13 rules, plain functions over events and bounds. Off costs one call of an empty function a request.

Ruled out: a library for linearizability; what must hold is "at most one start" and "versions only rise", which a pass over the events decides.

Test: 21 good and 20 bad histories written by hand; a bad one must be found by its own rule and by no other.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 RUN := $(VENV)/bin/python
-SOURCES := carobmoor stand_ins bench demo tools tests
+SOURCES := carobmoor stand_ins bench demo tools tests proofs
 
 .PHONY: demo test check bench format lock clean
 
--- a/carobmoor/client/_client.py
+++ b/carobmoor/client/_client.py
@@ -5,6 +5,7 @@
 import random
 import ssl
 import time
+import uuid
 from collections.abc import Sequence
 from typing import Final, Self
 from urllib.parse import quote
@@ -15,6 +16,8 @@
 from carobmoor.client._dispatch import Dispatcher, failure_of
 from carobmoor.client._headers import REQUEST_ID_HEADER
 from carobmoor.client._messages import Call, CallAnswer
+from carobmoor.client._record import record_outcome, record_sent
+from carobmoor.history import make_recorder
 from carobmoor.membership import Member, Standing, decode_members
 from carobmoor.outcomes import Failure
 from carobmoor.routing import Candidate, RoutingState, keep_candidates
@@ -58,14 +61,18 @@
         region: str = '',
         availability_zone: str = '',
         tls: ssl.SSLContext | None = None,
+        history_path: str = '',
     ) -> None:
         """Make a client for one caller; nothing is sent before `start`.
 
+        With `history_path`, what becomes of each `call` is appended there.
+
         With `tls`, as `carobmoor.tls.caller_context` makes it, every
         connection is encrypted.
         """
         self._contacts = [parse_address(contact) for contact in contacts]
         self._caller = caller
+        self._record = make_recorder(history_path, caller)
         self._pool = ConnectionPool(tls)
         self._rng = random.Random()
         self.dispatcher = Dispatcher(
@@ -105,6 +112,13 @@
         `Err(NotRun(...))` means that the request did not run, and
         `Err(Unknown(...))` that it may have run.
         """
+        call = call._replace(request_id=call.request_id or uuid.uuid4().hex)
+        record_sent(self._record, call)
+        called = await self._call(call)
+        record_outcome(self._record, call, called)
+        return called
+
+    async def _call(self, call: Call) -> Result[CallAnswer, Failure]:
         due_s = time.monotonic() + call.timeout_ms / _MS_PER_S + _GRACE_S
         streamed = await self.stream(call)
         if isinstance(streamed, Err):
--- /dev/null
+++ b/carobmoor/history/_recorder.py
@@ -0,0 +1,38 @@
+"""Writing the history of one process."""
+
+import os
+import time
+from typing import Any, Final, Protocol
+
+from carobmoor.history._events import Event, Kind, encode_event
+
+_FLAGS: Final = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+_MODE: Final = 0o644
+
+
+class Record(Protocol):
+    """Writes one event of this process; keywords are the event's fields."""
+
+    def __call__(self, kind: Kind, **fields: Any) -> None:
+        """Write the event with the present time."""
+
+
+def make_recorder(path: str, process: str) -> Record:
+    """Give a function that appends events to a file.
+
+    An empty path gives one that does nothing. Each event is one write, so
+    that a killed process leaves whole lines.
+    """
+    if not path:
+        return _record_nothing
+    descriptor = os.open(path, _FLAGS, _MODE)
+
+    def record(kind: Kind, **fields: Any) -> None:
+        event = Event(time.monotonic(), process, kind, **fields)
+        os.write(descriptor, encode_event(event))
+
+    return record
+
+
+def _record_nothing(kind: Kind, **fields: Any) -> None:
+    """Leave no trace of the event."""
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 from carobmoor.client import Dispatcher, learn_service
+from carobmoor.history import Kind
 from carobmoor.membership import (
     Gossip,
     Member,
@@ -53,6 +54,7 @@
     _quiet_collector()
     _log.info('Node starts.', address=node.here, service=node.service)
     await _serve(node, server, leaving)
+    node.record(Kind.STOPPED, subject=str(node.backend_server))
     _log.info('Node stopped.', address=node.here)
 
 
@@ -87,6 +89,7 @@
     """Refuse new work, tell the others, and wait for the running work."""
     await leaving.wait()
     node.gate.is_leaving = True
+    node.record(Kind.LEAVING, subject=str(node.backend_server))
     node.gossip.leave()
     _log.info('Node leaves.', in_flight=node.gate.state.in_flight_total)
     linger_ms = node.settings.get('leave_linger_ms', _DEFAULT_LINGER_MS)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -13,6 +13,7 @@
     failure_of,
 )
 from carobmoor.configuration import ServiceDocument
+from carobmoor.history import Kind
 from carobmoor.node._account import account
 from carobmoor.node._body import BodyFault, Receive
 from carobmoor.node._context import RequestContext, read_context
@@ -109,6 +110,11 @@
     started_s = time.monotonic()
     exchange.queued_s = started_s - exchange.started_s
     exchange.note('admission', 'started')
+    node.record(
+        Kind.ADMITTED,
+        request_id=context.request_id,
+        subject=str(node.backend_server),
+    )
     try:
         return await _run_for_caller(exchange, _run(node, exchange))
     finally:
--- a/carobmoor/node/_settings.py
+++ b/carobmoor/node/_settings.py
@@ -87,6 +87,8 @@
     # How long a leaving node keeps refusing before it stops.
     leave_linger_ms: NotRequired[Annotated[int, Field(ge=0, le=600_000)]]
     most_header_bytes: NotRequired[Annotated[int, Field(ge=1024, le=1_048_576)]]
+    # Where to append the history of this node, for checking; off if absent.
+    history_path: NotRequired[str]
 
 
 _ADAPTER: Final[TypeAdapter[Settings]] = TypeAdapter(Settings)
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -14,6 +14,7 @@
     objectives_of,
 )
 from carobmoor.explain import RecordState
+from carobmoor.history import Kind, make_recorder
 from carobmoor.membership import Gossip
 from carobmoor.node._follow import make_follower
 from carobmoor.node._pools import Pools
@@ -51,6 +52,10 @@
         self.dispatcher = dispatcher
         self.gossip = gossip
         self.metrics = NodeMetrics()
+        self.record = make_recorder(
+            settings.get('history_path', ''),
+            self.here,
+        )
         self.burn = BurnState()
         self.records = RecordState()
         self.gate = Gate(_NO_POLICY)
@@ -105,6 +110,11 @@
         }
         self.metrics.configuration_version.set(accepted.head.version)
         self.gossip.announce_version(accepted.head.version)
+        self.record(
+            Kind.IN_FORCE,
+            version=accepted.head.version,
+            digest=accepted.head.digest,
+        )
         if self.service in document['services']:
             policy = admission_policy_of(document, self.service)
             self.gate.state.replace_policy(policy)
--- /dev/null
+++ b/proofs/_read.py
@@ -0,0 +1,27 @@
+"""Reading the histories of several processes as one."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from carobmoor.history import Event, decode_event
+from proofs._messages import History
+
+
+def read_histories(paths: Iterable[Path]) -> History:
+    """Merge histories by time; a killed writer's last half line is dropped.
+
+    Raises `ValueError` with file and line where a line is no event.
+    """
+    events: list[Event] = []
+    for path in paths:
+        whole, _, _ = path.read_bytes().rpartition(b'\n')
+        for number, line in enumerate(whole.splitlines(), 1):
+            events.append(_decode(path, number, line))
+    return sorted(events, key=lambda event: event.at_s)
+
+
+def _decode(path: Path, number: int, line: bytes) -> Event:
+    try:
+        return decode_event(line)
+    except (ValueError, TypeError) as error:
+        raise ValueError(f'{path}:{number}: {error}') from error
--- /dev/null
+++ b/proofs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checker and of the scenario language."""
--- /dev/null
+++ b/proofs/tests/test_rules.py
@@ -0,0 +1,278 @@
+"""Each rule passes the histories that keep its promise and no other."""
+
+from collections.abc import Sequence
+
+from nose2.tools import params
+
+from carobmoor.history import Event, Kind
+from proofs._checker import RULES, check
+from proofs._messages import Bounds
+
+NODE = '10.0.0.1:7101'
+BACKEND = '10.0.0.1:7201'
+OTHER = '10.0.0.2:7201'
+BOUNDS = Bounds({BACKEND: 2}, in_force_s=7, leaving_s=3, probes_per_s=2)
+
+History = Sequence[Event]
+
+
+def at(at_s: float, process: str, kind: Kind, **fields) -> Event:
+    """Write one event by hand."""
+    return Event(at_s, process, kind, **fields)
+
+
+def sent(at_s: float = 0, repeatable: bool = False) -> Event:
+    """A caller sends request `a`."""
+    return at(
+        at_s,
+        'caller',
+        Kind.SENT,
+        request_id='a',
+        asked='b0',
+        repeatable=repeatable,
+    )
+
+
+def started(at_s: float = 1, process: str = BACKEND, running: int = 1) -> Event:
+    """A backend server starts request `a`."""
+    return at(at_s, process, Kind.STARTED, request_id='a', running=running)
+
+
+def ended(digest: str = 'd1', asked: str = 'b0') -> Event:
+    """The backend server ends request `a`."""
+    return at(
+        2, BACKEND, Kind.ENDED, request_id='a', digest=digest, asked=asked
+    )
+
+
+def answered(digest: str = 'd1', at_s: float = 3) -> Event:
+    """The caller has its answer."""
+    return at(at_s, 'caller', Kind.ANSWERED, request_id='a', digest=digest)
+
+
+def refused(at_s: float = 3) -> Event:
+    """The caller is told that the request did not run."""
+    return at(at_s, 'caller', Kind.REFUSED, request_id='a')
+
+
+def unknown(at_s: float = 3, detail: str = 'closed') -> Event:
+    """The caller is told that the request may have run."""
+    return at(at_s, 'caller', Kind.UNKNOWN, request_id='a', detail=detail)
+
+
+def leaving(at_s: float = 0) -> Event:
+    """The node leaves."""
+    return at(at_s, NODE, Kind.LEAVING, subject=BACKEND)
+
+
+def stopped(at_s: float) -> Event:
+    """The node's process ends by itself."""
+    return at(at_s, NODE, Kind.STOPPED, subject=BACKEND)
+
+
+def admitted(at_s: float = 0) -> Event:
+    """The node gives request `a` a slot."""
+    return at(at_s, NODE, Kind.ADMITTED, request_id='a', subject=BACKEND)
+
+
+def in_force(at_s: float, version: int, digest: str = 'c') -> Event:
+    """The node puts a version in force."""
+    return at(at_s, NODE, Kind.IN_FORCE, version=version, digest=digest)
+
+
+def accepted(at_s: float, version: int, digest: str = 'c') -> Event:
+    """An operator is told that a version was accepted."""
+    return at(at_s, 'operator', Kind.ACCEPTED, version=version, digest=digest)
+
+
+def kept(version: int) -> Event:
+    """The store still has a version at the end."""
+    return at(99, 'operator', Kind.KEPT, version=version, digest='c')
+
+
+def failed(at_s: float, subject: str = NODE) -> Event:
+    """A process is made to fail."""
+    return at(at_s, 'runner', Kind.FAILED, subject=subject)
+
+
+def mended(at_s: float, subject: str = NODE) -> Event:
+    """A process is mended."""
+    return at(at_s, 'runner', Kind.MENDED, subject=subject)
+
+
+def probed(at_s: float) -> Event:
+    """The node measures somebody's load."""
+    return at(at_s, NODE, Kind.PROBED)
+
+
+END = at(60, 'runner', Kind.MENDED, subject='nobody')
+RUN = (sent(), started(), ended(), answered())
+
+GOOD: Sequence[tuple[str, History]] = (
+    ('nothing', ()),
+    ('a whole run', RUN),
+    ('refused', (sent(), refused())),
+    ('lost before its start', (sent(), unknown())),
+    ('lost after its start', (sent(), started(), unknown())),
+    (
+        'refused, sent again, answered',
+        (sent(), refused(1), sent(1), started(), ended(), answered()),
+    ),
+    (
+        'repeatable, run twice',
+        (
+            sent(repeatable=True),
+            started(),
+            started(process=OTHER),
+            ended(),
+            answered(),
+        ),
+    ),
+    ('as many as slots', (sent(), started(running=2), ended(), answered())),
+    (
+        'started within the bound',
+        (leaving(), sent(), started(2), answered(), ended()),
+    ),
+    (
+        'started after a restart',
+        (leaving(), stopped(1), in_force(5, 1), sent(), *RUN[1:], refused()),
+    ),
+    (
+        'started after a kill while leaving',
+        (leaving(), failed(1), sent(5), started(6), ended(), answered(at_s=7)),
+    ),
+    (
+        'cut by a kill, not by the stop',
+        (sent(), admitted(), leaving(1), failed(2), started(), unknown()),
+    ),
+    (
+        'lapsed during a stop',
+        (sent(), admitted(), leaving(1), unknown(detail='no answer in time')),
+    ),
+    (
+        'lost before a stop',
+        (sent(), admitted(), started(), unknown(3), leaving(4)),
+    ),
+    ('in force in time', (accepted(1, 1), in_force(7, 1), END)),
+    (
+        'unreachable, then in time',
+        (
+            in_force(0, 1),
+            failed(1),
+            accepted(2, 2),
+            mended(30),
+            in_force(36, 2),
+            END,
+        ),
+    ),
+    ('left in the meantime', (in_force(0, 1), accepted(1, 2), leaving(3), END)),
+    ('the history ends early', (in_force(0, 1), accepted(1, 2), leaving(7))),
+    ('kept', (accepted(1, 1), in_force(2, 1), kept(1))),
+    ('restarted at its version', (in_force(0, 2), in_force(9, 2))),
+    ('probes in turn', (probed(0), probed(1), probed(2.5), probed(3.1))),
+)
+
+BAD: Sequence[tuple[str, History, str]] = (
+    (
+        'another answer',
+        (sent(), started(), ended(), answered('d2')),
+        'whole_and_own_answers',
+    ),
+    ('no run', (sent(), answered()), 'whole_and_own_answers'),
+    (
+        'a short body ran',
+        (sent(), started(), ended(asked='b1'), answered()),
+        'whole_requests',
+    ),
+    ('ran after all', (sent(), refused(), started(9)), 'not_run_never_started'),
+    (
+        'each of two refused, one ran',
+        (sent(), refused(1), sent(1), started(2), refused(3)),
+        'not_run_never_started',
+    ),
+    (
+        'ran twice',
+        (sent(), started(), started(2, OTHER), ended(), answered()),
+        'at_most_one_start',
+    ),
+    (
+        'sent again after unknown, ran twice',
+        (sent(), started(), unknown(), sent(3), started(4), unknown(5)),
+        'at_most_one_start',
+    ),
+    ('never ended', (sent(), started()), 'every_call_ends'),
+    (
+        'one too many',
+        (sent(), started(running=3), ended(), answered()),
+        'slots_never_exceeded',
+    ),
+    (
+        'started late',
+        (leaving(), sent(4), started(5), ended(), answered(at_s=6)),
+        'nothing_starts_after_leaving',
+    ),
+    (
+        'cut by a stop',
+        (sent(), admitted(), started(), leaving(2), unknown(3), stopped(4)),
+        'planned_stops_cut_nothing',
+    ),
+    ('fell', (in_force(0, 2), in_force(1, 1)), 'versions_never_fall'),
+    (
+        'fell over a restart',
+        (in_force(0, 2), leaving(1), stopped(2), in_force(3, 1)),
+        'versions_never_fall',
+    ),
+    (
+        'two contents',
+        (accepted(0, 1, 'c1'), in_force(1, 1, 'c2')),
+        'one_content_for_a_version',
+    ),
+    (
+        'two operators accepted',
+        (accepted(0, 1, 'c1'), accepted(1, 1, 'c2'), in_force(1, 1, 'c1')),
+        'one_content_for_a_version',
+    ),
+    ('lost', (accepted(0, 1), accepted(1, 2), kept(1)), 'accepted_is_kept'),
+    (
+        'late',
+        (in_force(0, 1), accepted(1, 2), in_force(9, 2)),
+        'accepted_is_in_force_in_time',
+    ),
+    (
+        'never',
+        (in_force(0, 1), accepted(1, 2), END),
+        'accepted_is_in_force_in_time',
+    ),
+    (
+        'late after the mending',
+        (
+            in_force(0, 1),
+            failed(1),
+            accepted(2, 2),
+            mended(30),
+            in_force(38, 2),
+        ),
+        'accepted_is_in_force_in_time',
+    ),
+    ('too many probes', (probed(0), probed(0.4), probed(0.9)), 'probes_within'),
+)
+
+
+@params(*GOOD)
+def test_kept_promises_pass(name, history):
+    """No rule finds fault with a history in which all held."""
+    assert check(history, BOUNDS) == [], name
+
+
+@params(*BAD)
+def test_broken_promises_are_found(name, history, rule):
+    """The rule of the broken promise finds it, and no other does."""
+    found = {known for known, judge in RULES.items() if judge(history, BOUNDS)}
+    assert len(found) == 1, (name, found)
+    assert found.pop().startswith(rule), name
+
+
+def test_every_rule_has_a_bad_history():
+    """No rule stands without a history that it finds fault with."""
+    named = {rule for _, _, rule in BAD}
+    assert all(known.startswith(tuple(named)) for known in RULES)
--- a/stand_ins/backend_server.py
+++ b/stand_ins/backend_server.py
@@ -18,6 +18,9 @@
 
 import fire
 import uvicorn
+import xxhash
+
+from carobmoor.history import Kind, Record, make_recorder
 
 _CRASH_HEADER = b'x-crash'
 _SERVICE_MS_HEADER = b'x-service-ms'
@@ -27,9 +30,16 @@
 class Backend:
     """The slots, the misbehaviour and the record of one backend server."""
 
-    def __init__(self, name: str, slots: int, service_ms: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        service_ms: float,
+        record: Record,
+    ) -> None:
         """Start well and warm unless `cold_start_ms` says otherwise."""
         self.name = name
+        self.record = record
         self.slots = slots
         self.service_ms = service_ms
         self.slowdown = float(1)
@@ -88,6 +98,11 @@
     request_id = headers.get(_REQUEST_ID_HEADER, b'').decode()
     backend.starts[request_id] = backend.starts.get(request_id, 0) + 1
     backend.in_flight += 1
+    backend.record(
+        Kind.STARTED,
+        request_id=request_id,
+        running=backend.in_flight,
+    )
     backend.most_in_flight = max(backend.most_in_flight, backend.in_flight)
     try:
         await _run(backend, request_id, headers, scope, receive, send)
@@ -106,12 +121,12 @@
     if _CRASH_HEADER in headers:
         os.kill(os.getpid(), signal.SIGKILL)
     if backend.fails:
-        await _answer(send, 500, b'failed')
+        await _end(backend, request_id, send, 500, b'failed')
         return
     if backend.sheds or backend.drains:
-        await _answer(send, 503, b'shedding')
+        await _end(backend, request_id, send, 503, b'shedding')
         return
-    digest, received_bytes = await _digest_of(receive)
+    digest, received_bytes, asked = await _digest_of(receive)
     gone = asyncio.ensure_future(_wait_gone(receive))
     work = asyncio.ensure_future(
         asyncio.sleep(backend.service_time_s(headers)),
@@ -127,7 +142,9 @@
     if wanted:
         await _answer_large(send, wanted)
         return
-    await _answer(
+    await _end(
+        backend,
+        request_id,
         send,
         200,
         json.dumps(
@@ -139,20 +156,40 @@
                 'target': scope['path'],
             },
         ).encode(),
+        asked,
+    )
+
+
+async def _end(
+    backend: Backend,
+    request_id: str,
+    send: Any,
+    status: int,
+    body: bytes,
+    asked: str = '',
+) -> None:
+    backend.record(
+        Kind.ENDED,
+        request_id=request_id,
+        asked=asked,
+        digest=xxhash.xxh64_hexdigest(body),
     )
+    await _answer(send, status, body)
 
 
-async def _digest_of(receive: Any) -> tuple[str, int]:
+async def _digest_of(receive: Any) -> tuple[str, int, str]:
     digest = hashlib.sha256()
+    asked = xxhash.xxh64()
     received_bytes = 0
     more = True
     while more:
         message = await receive()
         chunk = message.get('body', b'')
         digest.update(chunk)
+        asked.update(chunk)
         received_bytes += len(chunk)
         more = message.get('more_body', False)
-    return digest.hexdigest(), received_bytes
+    return digest.hexdigest(), received_bytes, asked.hexdigest()
 
 
 async def _wait_gone(receive: Any) -> None:
@@ -220,9 +257,11 @@
     ip: str = '127.0.0.1',
     slots: int = 9,
     service_ms: float = 5,
+    history_path: str = '',
 ) -> None:
     """Serve until stopped; SIGTERM ends the running requests first."""
-    backend = Backend(name, slots, service_ms)
+    record = make_recorder(history_path, f'{ip}:{port}')
+    backend = Backend(name, slots, service_ms, record)
     uvicorn.run(
         make_application(backend),
         host=ip,
