Name the two requests of a test apart

Cause: with tickets a second request of the same id is a copy of the first and shares its answer, so test_waiting_caller_leaves_its_place, which sent both under one id, waited for a queue entry that rightly never came. The test now sends two ids; what it asks for is unchanged.

--- a/tests/test_leaving_callers.py
+++ b/tests/test_leaving_callers.py
@@ -25,7 +25,7 @@
     async with one_slot() as deployment:
         first = await speak(deployment, 'POST', service_ms=LONG_MS)
         await until_status(deployment, 'in_flight', 1)
-        second = await speak(deployment, 'POST', service_ms=0)
+        second = await speak(deployment, 'POST', request_id='second')
         await until_status(deployment, 'queued', 1)
         second.close()
         await until_status(deployment, 'queued', 0)
@@ -111,12 +111,13 @@
     service_ms: int = 0,
     more_bytes: int = 0,
     answer_bytes: int = 0,
+    request_id: str = 'known',
 ) -> asyncio.StreamWriter:
     """Send a request of which the answer is never read."""
     _, writer = await connect(deployment)
     head = HEAD.format(method)
     writer.write(
-        f'{head}x-carobmoor-request-id: known\r\n'
+        f'{head}x-carobmoor-request-id: {request_id}\r\n'
         f'x-service-ms: {service_ms}\r\nx-answer-bytes: {answer_bytes}\r\n'
         f'content-length: {more_bytes + 1}\r\n\r\nx'.encode(),
     )
