--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,9 +7,16 @@
 
 from bench.admission import measure_admission
 from bench.hop import measure_hop
+from bench.retries import measure_retries
+from bench.routing import measure_routing
 
 _BENCHES = MappingProxyType(
-    {'admission': measure_admission, 'hop': measure_hop}
+    {
+        'admission': measure_admission,
+        'hop': measure_hop,
+        'retries': measure_retries,
+        'routing': measure_routing,
+    },
 )
 
 
--- /dev/null
+++ b/bench/_trials.py
@@ -0,0 +1,118 @@
+"""Stragglers and fast failures on real processes, as trials.
+
+Their figures depend on the machine and on what else runs there.
+"""
+
+import asyncio
+import json
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from carobmoor import Call, Client
+from stand_ins.deployment import Deployment, Place, read_example
+
+_SERVERS = 6
+_CALLS_PER_S = 150
+_PHASE_S = 6
+_SETTLE_S = 1
+_MS_PER_S = 1000
+_ERROR_STATUS = 500
+_CALL = Call('bookings', 'GET', '/today', rank='browse', repeatable=True)
+_DEPOSIT = _CALL._replace(method='POST', repeatable=False)
+
+
+class Phase(NamedTuple):
+    """What was measured while one fault stood."""
+
+    name: str
+    p50_ms: float
+    p99_ms: float
+    # The faulty server's percentage of the calls after the first second.
+    share: float
+    failed: int
+
+
+async def try_on_processes(say: Callable[[str], None]) -> None:
+    """Run every fault in turn, and print one line for each."""
+    place = Place('bookings', 'lagos', 'lagos-a', service_ms=20)
+    async with Deployment() as deployment:
+        places = [place for _ in range(_SERVERS)]
+        await deployment.start(places, read_example('adeyemi'))
+        contacts = [str(pair.node) for pair in deployment.pairs]
+        async with Client(contacts, 'bench') as client:
+            for wanted, way in ((_DEPOSIT, 'no hedges'), (_CALL, 'hedges')):
+                await _phases(deployment, client, wanted, way, say)
+            _say_cost(client, say)
+
+
+async def _phases(
+    deployment: Deployment,
+    client: Client,
+    wanted: Call,
+    way: str,
+    say: Callable[[str], None],
+) -> None:
+    faults: Sequence[tuple[str, Mapping[str, Any]]] = (
+        ('well', {}),
+        ('10x straggler', {'slowdown': 10}),
+        ('well again', {'slowdown': 1}),
+        ('fails fast', {'fails': True}),
+        ('well again', {'fails': False}),
+        ('well again, later', {}),
+    )
+    faulty = deployment.pairs[0]
+    for name, fault in faults:
+        await deployment.set_faults(faulty.backend_server, **fault)
+        phase = await _phase(client, wanted, name, str(faulty.node))
+        figures = f'{phase.p50_ms:>8.1f}{phase.p99_ms:>9.1f}{phase.share:>9.2f}'
+        say(f'{phase.name:<19}{way:<10}{figures}{phase.failed:>8}')
+
+
+async def _phase(
+    client: Client,
+    wanted: Call,
+    name: str,
+    faulty: str,
+) -> Phase:
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
+    latencies: list[float] = []
+    owners: Counter[str] = Counter()
+    outcomes: Counter[str] = Counter()
+
+    async def call_at(after_s: float) -> None:
+        await asyncio.sleep(begun_s + after_s - loop.time())
+        started_s = time.perf_counter()
+        called = await client.call(wanted)
+        latencies.append(time.perf_counter() - started_s)
+        if called.is_err() or called.unwrap().status >= _ERROR_STATUS:
+            outcomes['failed'] += 1
+        if called.is_ok() and after_s > _SETTLE_S:
+            owners[called.unwrap().owner] += 1
+
+    calls = _CALLS_PER_S * _PHASE_S
+    await asyncio.gather(
+        *(call_at(number / _CALLS_PER_S) for number in range(calls)),
+    )
+    latencies.sort()
+    return Phase(
+        name,
+        latencies[len(latencies) // 2] * _MS_PER_S,
+        latencies[int(len(latencies) * 0.99)] * _MS_PER_S,
+        100 * owners[faulty] / owners.total(),
+        outcomes['failed'],
+    )
+
+
+def _say_cost(client: Client, say: Callable[[str], None]) -> None:
+    counts = client.dispatcher.routing.counts
+    phases = 12
+    run_s = phases * _PHASE_S
+    say(json.dumps({name: round(told, 4) for name, told in counts.items()}))
+    bytes_per_s = counts['probe_bytes'] / run_s
+    share = 100 * counts['probe_core_s'] / run_s
+    report_bytes = counts['report_bytes'] / max(1, counts['reports'])
+    say(f'probes: {bytes_per_s:.0f} bytes/s, {share:.3f}% of a core')
+    say(f'reports: {report_bytes:.0f} bytes an answer')
--- a/carobmoor/__init__.py
+++ b/carobmoor/__init__.py
@@ -4,15 +4,23 @@
 `carobmoor node --settings FILE`.
 """
 
-from carobmoor.client import Call, CallAnswer, Client
+from carobmoor.client import (
+    Call,
+    CallAnswer,
+    CallContext,
+    Client,
+    read_call_context,
+)
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 
 __all__ = [
     'Call',
     'CallAnswer',
+    'CallContext',
     'Client',
     'Code',
     'Failure',
     'NotRun',
     'Unknown',
+    'read_call_context',
 ]
--- a/carobmoor/client/_client.py
+++ b/carobmoor/client/_client.py
@@ -13,10 +13,13 @@
 import msgspec
 from result import Err, Ok, Result
 
-from carobmoor.client._dispatch import Dispatcher, failure_of
+from carobmoor.client._dispatch import Dispatcher
 from carobmoor.client._headers import REQUEST_ID_HEADER
 from carobmoor.client._messages import Call, CallAnswer
+from carobmoor.client._policies import follow_policy
+from carobmoor.client._prober import keep_probing
 from carobmoor.client._record import record_outcome, record_sent
+from carobmoor.client._request import failure_of
 from carobmoor.history import make_recorder
 from carobmoor.membership import Member, Standing, decode_members
 from carobmoor.outcomes import Failure
@@ -43,6 +46,8 @@
 _REFRESH_TIMEOUT_S: Final = 1
 _MOST_ANSWER_BYTES: Final = 67_108_864
 _MEMBERS_TARGET: Final = '/_carobmoor/members'
+_POLICY: Final = OutgoingRequest('GET', '/_carobmoor/policy', ())
+_TAKES_WORK: Final = frozenset((Standing.ALIVE, Standing.SUSPECT))
 
 
 class Client:
@@ -83,7 +88,7 @@
         # The entity tag of each service's nodes, as last learned.
         self._etags: dict[str, str] = {}
         self._is_refresh_due = asyncio.Event()
-        self._refresher: asyncio.Task[None] | None = None
+        self._background: Sequence[asyncio.Task[None]] = ()
 
     async def __aenter__(self) -> Self:
         """Start learning the nodes."""
@@ -96,14 +101,17 @@
 
     async def start(self) -> None:
         """Keep learning the nodes in the background."""
-        self._refresher = asyncio.create_task(self._keep_refreshing())
+        routing = self.dispatcher.routing
+        self._background = (
+            asyncio.create_task(self._keep_refreshing()),
+            asyncio.create_task(keep_probing(routing, self._pool)),
+        )
 
     async def close(self) -> None:
         """Stop learning and close every connection."""
-        if self._refresher is not None:
-            self._refresher.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._refresher
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
         self._pool.close()
 
     async def call(self, call: Call) -> Result[CallAnswer, Failure]:
@@ -149,6 +157,7 @@
 
     async def _keep_refreshing(self) -> None:
         while True:
+            await self._learn_policy()
             await asyncio.sleep(_LEAST_INTERVAL_S)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_REFRESH_INTERVAL_S):
@@ -156,6 +165,17 @@
             self._is_refresh_due.clear()
             await self.refresh()
 
+    async def _learn_policy(self) -> None:
+        """Follow the limits that one of the contacts has in force."""
+        told = await request_json(
+            self._pool,
+            self._rng.choice(self._contacts),
+            _POLICY,
+            _REFRESH_TIMEOUT_S,
+        )
+        if isinstance(told, Ok):
+            follow_policy(self.dispatcher, told.ok_value.body)
+
     async def _learn(self, service: str) -> bool:
         """Learn a service's nodes from the first contact that answers."""
         for contact in self._rng.sample(self._contacts, len(self._contacts)):
@@ -196,21 +216,20 @@
 ) -> None:
     """Make the members that take work the candidates of their service.
 
-    Suspects are candidates only where nobody else is left.
+    A suspect stays a candidate, to be chosen only where nobody else is left.
     """
-    for standing in (Standing.ALIVE, Standing.SUSPECT):
-        candidates = [
-            Candidate(
-                parse_address(member.address),
-                member.region,
-                member.availability_zone,
-            )
-            for member in members
-            if member.standing is standing
-        ]
-        if candidates:
-            break
-    keep_candidates(routing, service, candidates)
+    candidates = [
+        Candidate(
+            parse_address(member.address),
+            member.region,
+            member.availability_zone,
+            member.incarnation,
+            member.standing is Standing.SUSPECT,
+        )
+        for member in members
+        if member.standing in _TAKES_WORK
+    ]
+    keep_candidates(routing, service, candidates, time.monotonic())
 
 
 def _whole(answer: Answer, body: bytes) -> CallAnswer:
--- a/carobmoor/client/_dispatch.py
+++ b/carobmoor/client/_dispatch.py
@@ -8,71 +8,82 @@
 
 from result import Err, Ok, Result
 
-from carobmoor.client._headers import (
-    CALLER_HEADER,
-    DEADLINE_HEADER,
-    DEPTH_HEADER,
-    OWNER_HEADER,
-    RANK_HEADER,
-    REQUEST_ID_HEADER,
-    SERVICE_HEADER,
-)
 from carobmoor.client._messages import Call
 from carobmoor.client._once import TicketDesk, send_once
-from carobmoor.outcomes import (
-    OUTCOME_HEADER,
-    Code,
-    Failure,
-    NotRun,
-    Unknown,
-    decode_failure,
+from carobmoor.client._race import race
+from carobmoor.client._request import (
+    Sent,
+    answer_bytes_of,
+    failure_of,
+    judge_answer,
+    request_bytes_of,
+    request_of,
+)
+from carobmoor.client._verdict import (
+    Next,
+    is_good,
+    next_step,
+    outcome_of,
+    settle,
+)
+from carobmoor.outcomes import Code, Failure, NotRun
+from carobmoor.retries import (
+    RetryState,
+    call_offered,
+    call_succeeded,
+    hedge_delay_s,
+    take_hedge,
+    take_retry,
 )
 from carobmoor.routing import (
     REPORT_HEADER,
+    CallEnd,
+    CandidateState,
+    ChoiceQuery,
+    Outcome,
     RoutingState,
     call_ended,
     call_started,
     choose,
     decode_report,
+    note_paid_answer,
     note_report,
 )
-from carobmoor.tickets import (
-    GRANT_HEADER,
-    REPEATABLE_HEADER,
-    TICKET_HEADER,
-    Ticket,
-    encode_ticket,
-    mint,
-)
+from carobmoor.tickets import GRANT_HEADER, Ticket, mint
 from carobmoor.transport import (
     Address,
     Answer,
-    AnswerBroken,
-    CallFailure,
     ConnectionPool,
-    OutgoingRequest,
     header_of,
-    proves_not_run,
-    read_whole,
     send,
 )
 
-_MOST_TRIES: Final = 3
-_MOST_REFUSAL_BYTES: Final = 65536
 _MS_PER_S: Final = 1000
 # How long past its deadline a call waits for the owner's word on it.
 _OUTCOME_GRACE_S: Final = 0.25
-_REFUSED_FOR_GOOD: Final = frozenset(
-    (
-        Code.BAD_REQUEST,
-        Code.BODY_TOO_LARGE,
-        Code.DEADLINE_LAPSED,
-        Code.UNKNOWN_RANK,
-        Code.BODY_STALLED,
-        Code.CONFLICT,
-        Code.HEADERS_TOO_LARGE,
-    ),
-)
+
+
+class Pursuit:
+    """One call while it is pursued: who was tried, and what is left."""
+
+    def __init__(self, call: Call, excluded: Sequence[Address]) -> None:
+        """Start before the first attempt."""
+        self.call = call
+        self.deadline_s = time.monotonic() + call.timeout_ms / _MS_PER_S
+        self.tried = list(excluded)
+        self.rank = call.rank
+
+    @property
+    def left_s(self) -> float:
+        """The time left before the deadline."""
+        return self.deadline_s - time.monotonic()
+
+    def begin_next(self) -> None:
+        """Count one more attempt of the chain."""
+        self.call = self.call._replace(
+            attempt=self.call.attempt + 1,
+            retries_left=self.call.retries_left - 1,
+        )
 
 
 class Dispatcher:
@@ -86,25 +97,28 @@
     ) -> None:
         """Bind the choice to the connections that carry it out."""
         self.routing = routing
+        self.retries = RetryState()
         self.desk = TicketDesk(pool)
         self._pool = pool
         self._rng = rng
 
-    async def dispatch(self, call: Call) -> Result[Answer, Failure]:
-        """Send a call, again elsewhere only while it surely did not run."""
+    async def dispatch(
+        self,
+        call: Call,
+        excluded: Sequence[Address] = (),
+    ) -> Sent:
+        """Send a call, and again elsewhere as far as that is safe.
+
+        Whether it may be sent again, `next_step` tells; how often, the
+        retry budget of its service.
+        """
         call = call._replace(request_id=call.request_id or uuid.uuid4().hex)
-        deadline_s = time.monotonic() + call.timeout_ms / _MS_PER_S
-        tried: list[Address] = []
-        failure: Failure = NotRun(Code.NO_CANDIDATE, 'choice', call.service)
-        for _ in range(_MOST_TRIES):
-            sent = await self._try_once(call, deadline_s, tried)
-            if isinstance(sent, Ok):
-                return sent
-            if not _is_no_candidate(sent.err_value):
-                failure = sent.err_value
-            if not _may_retry(call, sent.err_value):
-                break
-        return Err(failure)
+        pursuit = Pursuit(call, excluded)
+        call_offered(self.retries, call.service, call.attempt)
+        sent = await self._attempt(pursuit)
+        while self._may_go_on(pursuit, sent):
+            sent = settle(sent, await self._attempt(pursuit))
+        return sent
 
     async def mint_for(
         self,
@@ -113,45 +127,22 @@
     ) -> Result[Ticket, Failure]:
         """Choose an owner for a request and mint a ticket for it."""
         now_s = time.monotonic()
-        chosen = choose(self.routing, service, (), now_s, self._rng)
-        if chosen is None:
+        query = ChoiceQuery()
+        known = choose(self.routing, service, query, now_s, self._rng)
+        if known is None:
             return Err(NotRun(Code.NO_CANDIDATE, 'choice', service))
-        owner = chosen.candidate.address
+        owner = known.address
         grant = await self.desk.grant_of(owner)
         if grant is None:
             return Err(NotRun(Code.NOT_SENT, 'ticket', str(owner), 'no grant'))
         return Ok(mint(grant, request_id, service, 0))
 
-    async def _try_once(
-        self,
-        call: Call,
-        deadline_s: float,
-        tried: list[Address],
-    ) -> Result[Answer, Failure]:
-        now_s = time.monotonic()
-        chosen = choose(self.routing, call.service, tried, now_s, self._rng)
-        if chosen is None:
-            return Err(NotRun(Code.NO_CANDIDATE, 'choice', call.service))
-        tried.append(chosen.candidate.address)
-        call_started(chosen)
-        succeeded = False
-        try:
-            sent = await self.send_to(
-                call,
-                chosen.candidate.address,
-                deadline_s,
-            )
-            succeeded = sent.is_ok()
-        finally:
-            call_ended(chosen, time.monotonic() - now_s, succeeded)
-        return sent
-
     async def send_to(
         self,
         call: Call,
         owner: Address,
         deadline_s: float,
-    ) -> Result[Answer, Failure]:
+    ) -> Sent:
         """Make one attempt at a call, under a ticket where it needs one."""
         if call.repeatable:
             return await self._send_copy(call, owner, deadline_s)
@@ -168,101 +159,127 @@
         call: Call,
         owner: Address,
         deadline_s: float,
-    ) -> Result[Answer, Failure]:
+    ) -> Sent:
         """Send a call to one owner and tell a refusal from an answer."""
         left_s = deadline_s - time.monotonic()
         if left_s <= 0:
             return Err(NotRun(Code.DEADLINE_LAPSED, 'choice', str(owner)))
-        request = OutgoingRequest(
-            call.method,
-            call.target,
-            _headers_of(call, owner, left_s),
-            call.body,
-            call.more_body,
-        )
+        request = request_of(call, owner, left_s)
         timeout_s = left_s + _OUTCOME_GRACE_S
         sent = await send(self._pool, owner, request, timeout_s)
         if isinstance(sent, Err):
             return Err(failure_of(sent.err_value))
-        return await self._judge(call, sent.ok_value)
-
-    async def _judge(
-        self,
-        call: Call,
-        answer: Answer,
-    ) -> Result[Answer, Failure]:
-        headers = answer.head.headers
-        self._note_report(call, answer)
-        self.desk.note(header_of(headers, GRANT_HEADER))
-        if not header_of(headers, OUTCOME_HEADER.encode()):
-            return _own_answer(call, answer)
-        peer = str(answer.address)
-        try:
-            body = await read_whole(answer, _MOST_REFUSAL_BYTES)
-        except AnswerBroken as error:
-            return Err(failure_of(error.failure))
-        return Err(decode_failure(body, call.request_id, peer))
-
-    def _note_report(self, call: Call, answer: Answer) -> None:
-        content = header_of(answer.head.headers, REPORT_HEADER)
-        report = decode_report(content)
-        known = self.routing.find(call.service, answer.address)
-        if report is not None and known is not None:
-            note_report(known, report, time.monotonic())
-
-
-def failure_of(failure: CallFailure) -> Failure:
-    """Tell what a lost call means for its request."""
-    step = failure.step.value
-    if proves_not_run(failure):
-        return NotRun(Code.NOT_SENT, step, failure.peer, failure.reason)
-    return Unknown(step, failure.peer, failure.reason)
+        self._note_headers(call, sent.ok_value)
+        return await judge_answer(call, sent.ok_value)
 
+    async def _attempt(self, pursuit: Pursuit) -> Sent:
+        """Try once, with a hedge where the call allows it."""
+        call = pursuit.call
+        begun_s = time.monotonic()
+        delay_s = self._hedge_delay_s(pursuit)
+        if delay_s is None:
+            sent = await self._try_once(pursuit)
+        else:
+            sent = await race(
+                lambda: self._try_once(pursuit),
+                delay_s,
+                lambda: self._takes_hedge(pursuit),
+            )
+        if is_good(sent):
+            took_s = time.monotonic() - begun_s
+            spent = (call.service, call.rank, call.attempt)
+            call_succeeded(self.retries, *spent, took_s)
+        return sent
 
-def _own_answer(call: Call, answer: Answer) -> Result[Answer, Failure]:
-    echoed = header_of(answer.head.headers, REQUEST_ID_HEADER)
-    if echoed == call.request_id:
-        return Ok(answer)
-    answer.abandon('answer of another request')
-    peer = str(answer.address)
-    return Err(Unknown('awaiting_answer', peer, 'answer of another request'))
+    async def _try_once(self, pursuit: Pursuit) -> Sent:
+        """Choose an owner and send it the call: the one place of both."""
+        call = pursuit.call
+        now_s = time.monotonic()
+        query = ChoiceQuery(
+            pursuit.tried,
+            call.rank,
+            request_bytes_of(call),
+            call.repeatable,
+        )
+        known = choose(self.routing, call.service, query, now_s, self._rng)
+        if known is None:
+            return Err(NotRun(Code.NO_CANDIDATE, 'choice', call.service))
+        pursuit.tried.append(known.address)
+        number = call_started(self.routing, known, now_s)
+        outcome = Outcome.NEUTRAL
+        try:
+            sent = await self.send_to(call, known.address, pursuit.deadline_s)
+            outcome = outcome_of(sent)
+        finally:
+            self._end(call, known, number, outcome)
+        self._learn(call, known, sent)
+        return sent
 
+    def _end(
+        self,
+        call: Call,
+        known: CandidateState,
+        number: int,
+        outcome: Outcome,
+    ) -> None:
+        end = CallEnd(outcome, call.rank, call.more_body is None)
+        now_s = time.monotonic()
+        call_ended(self.routing, call.service, known, number, end, now_s)
 
-def _headers_of(
-    call: Call,
-    owner: Address,
-    left_s: float,
-) -> Sequence[tuple[bytes, bytes]]:
-    left_ms = max(1, int(left_s * _MS_PER_S))
-    headers = [
-        (b'host', str(owner).encode()),
-        (REQUEST_ID_HEADER, call.request_id.encode()),
-        (SERVICE_HEADER, call.service.encode()),
-        (OWNER_HEADER, str(owner).encode()),
-        (DEADLINE_HEADER, b'%d' % left_ms),
-    ]
-    if call.rank:
-        headers.append((RANK_HEADER, call.rank.encode()))
-    if call.caller:
-        headers.append((CALLER_HEADER, call.caller.encode()))
-    if call.depth:
-        headers.append((DEPTH_HEADER, b'%d' % call.depth))
-    if call.ticket is not None:
-        headers.append((TICKET_HEADER, encode_ticket(call.ticket)))
-    elif call.repeatable:
-        headers.append((REPEATABLE_HEADER, b'true'))
-    return (*headers, *call.headers)
+    def _may_go_on(self, pursuit: Pursuit, sent: Sent) -> bool:
+        call = pursuit.call
+        step = next_step(call, sent)
+        if step is Next.DONE or pursuit.left_s <= 0:
+            return False
+        if step is Next.BOUNCE:
+            return True
+        if not call.retries_left:
+            return False
+        if not take_retry(self.retries, call.service):
+            return False
+        pursuit.begin_next()
+        return True
 
+    def _hedge_delay_s(self, pursuit: Pursuit) -> float | None:
+        call = pursuit.call
+        if not call.repeatable or call.more_body is not None:
+            return None
+        if not call.retries_left:
+            return None
+        delay_s = hedge_delay_s(self.retries, call.service, call.rank)
+        if delay_s is None or delay_s >= pursuit.left_s:
+            return None
+        return delay_s
 
-def _may_retry(call: Call, failure: Failure) -> bool:
-    # A streamed body is consumed by the first try, and a ticket of the
-    # caller's own names the one owner.
-    if call.more_body is not None or call.ticket is not None:
-        return False
-    if isinstance(failure, Unknown):
-        return call.repeatable
-    return failure.code not in _REFUSED_FOR_GOOD
+    def _takes_hedge(self, pursuit: Pursuit) -> bool:
+        if not take_hedge(self.retries, pursuit.call.service):
+            return False
+        pursuit.begin_next()
+        return True
 
+    def _learn(
+        self,
+        call: Call,
+        known: CandidateState,
+        sent: Sent,
+    ) -> None:
+        if isinstance(sent, Err):
+            if sent.err_value.code is Code.LEAVING:
+                known.is_leaving = True
+        else:
+            answer_bytes = answer_bytes_of(sent.ok_value)
+            note_paid_answer(self.routing, call.rank, known, answer_bytes)
+        if known.is_leaving:
+            self._pool.forget(known.address)
 
-def _is_no_candidate(failure: Failure) -> bool:
-    return failure.code is Code.NO_CANDIDATE
+    def _note_headers(self, call: Call, answer: Answer) -> None:
+        self.desk.note(header_of(answer.head.headers, GRANT_HEADER))
+        content = header_of(answer.head.headers, REPORT_HEADER)
+        report = decode_report(content)
+        known = self.routing.find(call.service, answer.address)
+        if report is None or known is None:
+            return
+        self.routing.counts['reports'] += 1
+        self.routing.counts['report_bytes'] += len(content)
+        now_s = time.monotonic()
+        note_report(self.routing, call.service, known, report, now_s)
--- a/carobmoor/client/_headers.py
+++ b/carobmoor/client/_headers.py
@@ -11,3 +11,7 @@
 DEPTH_HEADER: Final = b'x-carobmoor-depth'
 # Names the owner node that the library chose; absent from plain callers.
 OWNER_HEADER: Final = b'x-carobmoor-owner'
+# Which attempt of the whole chain of calls this is, from 1.
+ATTEMPT_HEADER: Final = b'x-carobmoor-attempt'
+# How many further attempts the chain may still make for this call.
+RETRIES_LEFT_HEADER: Final = b'x-carobmoor-retries-left'
--- a/carobmoor/client/_messages.py
+++ b/carobmoor/client/_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
+from carobmoor.retries import DEFAULT_RETRY_POLICY, FIRST_ATTEMPT
 from carobmoor.tickets import Ticket
 from carobmoor.transport import HeaderList
 
@@ -27,6 +28,10 @@
     caller: str = ''
     # The caller's own ticket; without one the library mints what it needs.
     ticket: Ticket | None = None
+    # Which attempt of the whole chain of calls this is, from 1.
+    attempt: int = FIRST_ATTEMPT
+    # How many further attempts the chain may still make for this call.
+    retries_left: int = DEFAULT_RETRY_POLICY.most_retries
 
 
 class CallAnswer(NamedTuple):
--- /dev/null
+++ b/carobmoor/client/_policies.py
@@ -0,0 +1,43 @@
+"""The limits in force, as nodes tell them to callers' processes."""
+
+from typing import Final, TypedDict
+
+import msgspec
+
+from carobmoor.client._dispatch import Dispatcher
+from carobmoor.retries import RetryPolicy
+from carobmoor.routing import RoutingPolicy
+
+
+class PolicyDocument(TypedDict):
+    """The policies of a dispatcher."""
+
+    routing: RoutingPolicy
+    retries: RetryPolicy
+
+
+_decoder: Final = msgspec.json.Decoder(PolicyDocument)
+
+
+def policy_of(dispatcher: Dispatcher) -> PolicyDocument:
+    """Give the policies that a dispatcher follows."""
+    routing = dispatcher.routing.policy
+    return {
+        'routing': routing._replace(
+            paid_link_bytes_per_s_by_rank=dict(
+                routing.paid_link_bytes_per_s_by_rank,
+            ),
+            target_s_by_rank=dict(routing.target_s_by_rank),
+        ),
+        'retries': dispatcher.retries.policy,
+    }
+
+
+def follow_policy(dispatcher: Dispatcher, body: bytes) -> None:
+    """Put policies in force as a node told them; the unreadable are not."""
+    try:
+        told = _decoder.decode(body)
+    except msgspec.DecodeError:
+        return
+    dispatcher.routing.replace_policy(told['routing'])
+    dispatcher.retries.replace_policy(told['retries'])
--- /dev/null
+++ b/carobmoor/client/_request.py
@@ -0,0 +1,133 @@
+"""The request that carries a call, and what its answer means."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from result import Err, Ok, Result
+
+from carobmoor.client._headers import (
+    ATTEMPT_HEADER,
+    CALLER_HEADER,
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    OWNER_HEADER,
+    RANK_HEADER,
+    REQUEST_ID_HEADER,
+    RETRIES_LEFT_HEADER,
+    SERVICE_HEADER,
+)
+from carobmoor.client._messages import Call
+from carobmoor.outcomes import (
+    OUTCOME_HEADER,
+    Code,
+    Failure,
+    NotRun,
+    Unknown,
+    decode_failure,
+)
+from carobmoor.tickets import (
+    REPEATABLE_HEADER,
+    TICKET_HEADER,
+    encode_ticket,
+)
+from carobmoor.transport import (
+    Address,
+    Answer,
+    AnswerBroken,
+    CallFailure,
+    OutgoingRequest,
+    header_of,
+    proves_not_run,
+    read_whole,
+)
+
+Sent = Result[Answer, Failure]
+
+_MOST_REFUSAL_BYTES: Final = 65536
+_MS_PER_S: Final = 1000
+# What a body of undeclared length counts for on a paid link.
+_UNDECLARED_BYTES: Final = 1_048_576
+_CONTENT_LENGTH: Final = b'content-length'
+
+
+def request_of(call: Call, owner: Address, left_s: float) -> OutgoingRequest:
+    """Make the request that carries a call to one owner."""
+    return OutgoingRequest(
+        call.method,
+        call.target,
+        _headers_of(call, owner, left_s),
+        call.body,
+        call.more_body,
+    )
+
+
+def failure_of(failure: CallFailure) -> Failure:
+    """Tell what a lost call means for its request."""
+    step = failure.step.value
+    if proves_not_run(failure):
+        return NotRun(Code.NOT_SENT, step, failure.peer, failure.reason)
+    return Unknown(step, failure.peer, failure.reason)
+
+
+async def judge_answer(call: Call, answer: Answer) -> Sent:
+    """Tell an answer from a refusal, and both from those of other calls."""
+    headers = answer.head.headers
+    if not header_of(headers, OUTCOME_HEADER.encode()):
+        return _own_answer(call, answer)
+    peer = str(answer.address)
+    try:
+        body = await read_whole(answer, _MOST_REFUSAL_BYTES)
+    except AnswerBroken as error:
+        return Err(failure_of(error.failure))
+    return Err(decode_failure(body, call.request_id, peer))
+
+
+def request_bytes_of(call: Call) -> int:
+    """Give what a call's body takes of a link, guessed where undeclared."""
+    if call.more_body is None:
+        return len(call.body)
+    declared = header_of(call.headers, _CONTENT_LENGTH)
+    return int(declared) if declared.isdigit() else _UNDECLARED_BYTES
+
+
+def answer_bytes_of(answer: Answer) -> int:
+    """Give the declared length of an answer; 0 where it declares none."""
+    declared = header_of(answer.head.headers, _CONTENT_LENGTH)
+    return int(declared) if declared.isdigit() else 0
+
+
+def _own_answer(call: Call, answer: Answer) -> Sent:
+    echoed = header_of(answer.head.headers, REQUEST_ID_HEADER)
+    if echoed == call.request_id:
+        return Ok(answer)
+    answer.abandon('answer of another request')
+    peer = str(answer.address)
+    return Err(Unknown('awaiting_answer', peer, 'answer of another request'))
+
+
+def _headers_of(
+    call: Call,
+    owner: Address,
+    left_s: float,
+) -> Sequence[tuple[bytes, bytes]]:
+    left_ms = max(1, int(left_s * _MS_PER_S))
+    headers = [
+        (b'host', str(owner).encode()),
+        (REQUEST_ID_HEADER, call.request_id.encode()),
+        (SERVICE_HEADER, call.service.encode()),
+        (OWNER_HEADER, str(owner).encode()),
+        (DEADLINE_HEADER, b'%d' % left_ms),
+        (ATTEMPT_HEADER, b'%d' % call.attempt),
+        (RETRIES_LEFT_HEADER, b'%d' % call.retries_left),
+    ]
+    if call.rank:
+        headers.append((RANK_HEADER, call.rank.encode()))
+    if call.caller:
+        headers.append((CALLER_HEADER, call.caller.encode()))
+    if call.depth:
+        headers.append((DEPTH_HEADER, b'%d' % call.depth))
+    if call.ticket is not None:
+        headers.append((TICKET_HEADER, encode_ticket(call.ticket)))
+    elif call.repeatable:
+        headers.append((REPEATABLE_HEADER, b'true'))
+    return (*headers, *call.headers)
--- /dev/null
+++ b/carobmoor/client/tests/test_context.py
@@ -0,0 +1,43 @@
+"""Tests of what a backend server passes on to its own calls."""
+
+from nose2.tools import params
+
+from carobmoor.client import Call, read_call_context
+
+CALL = Call('payments', 'POST', '/deposits')
+CHAIN = (
+    (b'x-carobmoor-rank', b'urgent'),
+    (b'x-carobmoor-depth', b'3'),
+    (b'x-carobmoor-deadline-ms', b'500'),
+    (b'x-carobmoor-attempt', b'2'),
+    (b'x-carobmoor-retries-left', b'1'),
+)
+
+
+def test_child_is_part_of_its_chain():
+    """One deeper, of the same rank, and within what is left."""
+    child = read_call_context(CHAIN).child(CALL)
+    assert (child.rank, child.depth) == ('urgent', 4)
+    assert (child.attempt, child.retries_left) == (2, 1)
+    assert child.timeout_ms <= 500
+
+
+def test_child_may_ask_for_less():
+    """What the call names itself goes first where it asks for less."""
+    call = CALL._replace(rank='upload', timeout_ms=10, retries_left=0)
+    child = read_call_context(CHAIN).child(call)
+    assert (child.rank, child.timeout_ms) == ('upload', 10)
+    assert child.retries_left == 0
+
+
+@params((), ((b'x-carobmoor-depth', b'no number'),))
+def test_without_headers_a_chain_starts(*headers):
+    """A plain request starts a chain, and so does an unreadable one."""
+    child = read_call_context(headers).child(CALL)
+    assert child == CALL._replace(depth=1)
+
+
+def test_chain_out_of_time_is_not_sent():
+    """A lapsed deadline leaves a timeout of nothing."""
+    lapsed = ((b'x-carobmoor-deadline-ms', b'0'),)
+    assert read_call_context(lapsed).child(CALL).timeout_ms == 0
--- /dev/null
+++ b/carobmoor/client/tests/test_dispatch.py
@@ -0,0 +1,206 @@
+"""Tests of retries and hedges, without a socket."""
+
+import asyncio
+from types import MappingProxyType
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from carobmoor.client import Call
+from carobmoor.client.tests.fixtures import (
+    SERVICE,
+    ScriptedDispatcher,
+    asynchronous,
+    failed,
+    good,
+    lost,
+    refused,
+)
+from carobmoor.outcomes import Code, NotRun, Unknown
+from carobmoor.retries import RetryPolicy, call_succeeded
+
+DEPOSIT = Call(SERVICE, 'POST', '/deposits')
+BROWSE = Call(SERVICE, 'GET', '/today', repeatable=True)
+ENDS = st.one_of(
+    st.sampled_from(('good', 'failed', 'lost')),
+    st.sampled_from(Code),
+)
+MAKERS = MappingProxyType({'good': good, 'failed': failed, 'lost': lost})
+HEDGES_AT_ONCE = RetryPolicy(hedge_quantile=0.5)
+
+
+async def chunks():
+    """Stream a body."""
+    yield b'chunk'
+
+
+def make_end(name):
+    """Make the end of an attempt from its name."""
+    return MAKERS[name]() if name in MAKERS else refused(Code(name))
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(ENDS, min_size=1, max_size=8), st.booleans(), st.booleans())
+def test_unrepeatable_runs_once(names, is_repeatable, has_stream):
+    """After a byte was written nothing is sent again, and no hedge ever.
+
+    Nor does a refusal hide that an earlier attempt may have run.
+    """
+    script = [make_end(name) for name in names]
+    dispatcher = ScriptedDispatcher(script)
+    call = BROWSE if is_repeatable else DEPOSIT
+    if has_stream:
+        call = call._replace(more_body=chunks())
+    sent = asyncio.run(dispatcher.dispatch(call))
+    last = len(script) - 1
+    played = [script[min(at, last)] for at in range(len(dispatcher.sent))]
+    may_have_run = [end for end in played if not _is_not_run(end)]
+    if not is_repeatable or has_stream:
+        assert may_have_run in ([], [played[-1]])
+    assert _is_not_run(sent) is not bool(may_have_run)
+    owners = [owner for _, owner in dispatcher.sent]
+    assert len(set(owners)) == len(owners)
+
+
+@params(
+    ((refused(Code.QUEUE_FULL), good()), DEPOSIT, 2),
+    ((refused(Code.NOT_SENT, 'connect'), good()), DEPOSIT, 2),
+    ((refused(Code.UNKNOWN_RANK), good()), DEPOSIT, 1),
+    ((refused(Code.DEADLINE_LAPSED), good()), BROWSE, 1),
+    ((lost(), good()), DEPOSIT, 1),
+    ((lost(), good()), BROWSE, 2),
+    ((failed(), good()), DEPOSIT, 1),
+    ((failed(), good()), BROWSE, 2),
+    ((failed(),), BROWSE, 3),
+    ((failed(),), BROWSE._replace(retries_left=0), 1),
+    ((refused(Code.LEAVING),), DEPOSIT._replace(retries_left=0), 6),
+    ((refused(Code.QUEUE_FULL), good()), DEPOSIT._replace(timeout_ms=0), 1),
+    ((refused(Code.NOT_SENT, 'connect'), good()), 'stream', 2),
+    ((refused(Code.QUEUE_FULL), good()), 'stream', 1),
+)
+def test_attempts(script, call, attempts):
+    """How often a call is sent, by how its attempts end."""
+    if call == 'stream':
+        call = BROWSE._replace(more_body=chunks())
+    dispatcher = ScriptedDispatcher(script)
+    asyncio.run(dispatcher.dispatch(call))
+    assert len(dispatcher.sent) == attempts
+
+
+@asynchronous
+async def test_attempt_and_retries_left_travel():
+    """Each retry says which attempt it is, and leaves one less."""
+    dispatcher = ScriptedDispatcher((failed(),))
+    await dispatcher.dispatch(BROWSE)
+    travelled = [
+        (call.attempt, call.retries_left) for call, _ in dispatcher.sent
+    ]
+    assert travelled == [(1, 2), (2, 1), (3, 0)]
+    assert len({call.request_id for call, _ in dispatcher.sent}) == 1
+
+
+@asynchronous
+async def test_budget_bounds_retries():
+    """When everything fails only the reserve is spent."""
+    dispatcher = ScriptedDispatcher((failed(),))
+    for _ in range(200):
+        sent = await dispatcher.dispatch(BROWSE)
+        assert sent.ok_value.head.status == 500
+    assert len(dispatcher.sent) == 220
+
+
+@asynchronous
+async def test_answers_not_told_are_abandoned():
+    """Exactly one answer of several is left to be read."""
+    ends = [failed(), failed(), good()]
+    dispatcher = ScriptedDispatcher(ends)
+    told = await dispatcher.dispatch(BROWSE)
+    assert told is ends[2]
+    abandoned = [end.ok_value.is_abandoned for end in ends]
+    assert abandoned == [True, True, False]
+
+
+@asynchronous
+async def test_leaving_owner_is_forgotten():
+    """A refusal "leaving" takes the candidate out at once."""
+    dispatcher = ScriptedDispatcher((refused(Code.LEAVING), good()))
+    await dispatcher.dispatch(DEPOSIT)
+    left = dispatcher.sent[0][1]
+    assert dispatcher.routing.find(SERVICE, left).is_leaving
+    for _ in range(50):
+        await dispatcher.dispatch(DEPOSIT)
+    assert left not in [owner for _, owner in dispatcher.sent[1:]]
+
+
+@asynchronous
+async def test_hedge_goes_elsewhere_and_cancels():
+    """The first good answer ends the race, and the other is cancelled."""
+    dispatcher = _hedging((None, good()))
+    told = await dispatcher.dispatch(BROWSE)
+    assert told.is_ok()
+    first, second = dispatcher.sent
+    assert first[1] != second[1]
+    await asyncio.sleep(0)
+    assert dispatcher.cancelled == [first[1]]
+    assert not any(
+        known.own_in_flight for known in dispatcher.routing.of(SERVICE)
+    )
+
+
+@params(
+    (DEPOSIT,),
+    (BROWSE._replace(retries_left=0),),
+    (BROWSE._replace(rank='unheard-of'),),
+)
+def test_no_hedge(call):
+    """Neither for what may not be repeated nor without an allowance."""
+    asynchronous(_send_one)(call)
+
+
+async def _send_one(call):
+    dispatcher = _hedging((None, good()))
+    pursued = asyncio.ensure_future(dispatcher.dispatch(call))
+    for _ in range(20):
+        await asyncio.sleep(0.001)
+    assert len(dispatcher.sent) == 1
+    pursued.cancel()
+    await asyncio.gather(pursued, return_exceptions=True)
+    assert dispatcher.cancelled
+
+
+@asynchronous
+async def test_hedges_have_a_budget():
+    """Slow calls are hedged only as far as the reserve goes."""
+    dispatcher = _hedging((None,))
+    pursued = [
+        asyncio.ensure_future(dispatcher.dispatch(BROWSE)) for _ in range(50)
+    ]
+    for _ in range(20):
+        await asyncio.sleep(0.001)
+    hedged = dispatcher.retries.of(SERVICE).hedged
+    assert len(dispatcher.sent) == 50 + hedged
+    assert hedged <= 5
+    for one in pursued:
+        one.cancel()
+    await asyncio.gather(*pursued, return_exceptions=True)
+    assert len(dispatcher.cancelled) == len(dispatcher.sent)
+
+
+def _is_not_run(sent):
+    return sent.is_err() and isinstance(sent.err_value, NotRun)
+
+
+def _hedging(script):
+    dispatcher = ScriptedDispatcher(script)
+    dispatcher.retries.replace_policy(HEDGES_AT_ONCE)
+    for _ in range(100):
+        call_succeeded(dispatcher.retries, SERVICE, '', 1, 0.0001)
+    return dispatcher
+
+
+def test_unknown_is_not_hidden_by_a_refusal():
+    """A lost attempt and a refused one end as unknown."""
+    dispatcher = ScriptedDispatcher((lost(), refused(Code.UNKNOWN_RANK)))
+    told = asyncio.run(dispatcher.dispatch(BROWSE))
+    assert isinstance(told.err_value, Unknown)
--- a/carobmoor/configuration/__init__.py
+++ b/carobmoor/configuration/__init__.py
@@ -30,6 +30,10 @@
     load_version,
     publish,
 )
+from carobmoor.configuration._routing import (
+    retry_policy_of,
+    routing_policy_of,
+)
 from carobmoor.configuration._state import (
     ConfigurationState,
     Snapshot,
@@ -75,5 +79,7 @@
     'read_commented',
     'read_head',
     'read_history',
+    'retry_policy_of',
+    'routing_policy_of',
     'validate_document',
 ]
--- a/carobmoor/configuration/_document.py
+++ b/carobmoor/configuration/_document.py
@@ -18,6 +18,7 @@
 )
 from carobmoor.burn import Objective
 from carobmoor.configuration._check import Fault, check_document
+from carobmoor.configuration._routing import RetriesDocument, RoutingDocument
 from carobmoor.quarantine import QuarantinePolicy
 
 _STRICT: Final = ConfigDict(extra='forbid', strict=True)
@@ -94,6 +95,8 @@
 
     ranks: Annotated[Sequence[RankDocument], Field(min_length=1, max_length=16)]
     services: Annotated[Mapping[Name, ServiceDocument], Field(min_length=1)]
+    routing: NotRequired[RoutingDocument]
+    retries: NotRequired[RetriesDocument]
 
 
 _ADAPTER: Final[TypeAdapter[Document]] = TypeAdapter(Document)
--- a/carobmoor/node/_account.py
+++ b/carobmoor/node/_account.py
@@ -33,7 +33,7 @@
     cause = _cause(node, exchange, took_s, failure)
     is_bad = failure is not None or cause is not None
     _explain(node, exchange, failure, is_bad)
-    answered_elsewhere = failure is None and context.service != node.service
+    answered_elsewhere = failure is None and exchange.is_forwarded
     is_fault_of_caller = failure is not None and cause is None
     if not answered_elsewhere and not is_fault_of_caller:
         record(node.burn, context.service, rank, took_s, cause, time.time())
--- a/carobmoor/node/_context.py
+++ b/carobmoor/node/_context.py
@@ -7,15 +7,18 @@
 from result import Err, Ok, Result
 
 from carobmoor.client import (
+    ATTEMPT_HEADER,
     CALLER_HEADER,
     DEADLINE_HEADER,
     DEPTH_HEADER,
     OWNER_HEADER,
     RANK_HEADER,
     REQUEST_ID_HEADER,
+    RETRIES_LEFT_HEADER,
     SERVICE_HEADER,
 )
 from carobmoor.outcomes import Code, NotRun
+from carobmoor.retries import DEFAULT_RETRY_POLICY, FIRST_ATTEMPT
 from carobmoor.tickets import (
     REPEATABLE_HEADER,
     TICKET_HEADER,
@@ -27,6 +30,9 @@
 _DEEPEST: Final = 64
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE'))
 _LONGEST_DEADLINE_MS: Final = 86_400_000
+_MOST_ATTEMPTS: Final = 64
+_YES: Final = frozenset((b'true', b'1'))
+_IDEMPOTENCY_KEY: Final = b'idempotency-key'
 
 
 class RequestContext(NamedTuple):
@@ -48,6 +54,11 @@
     # Whether running it twice does no harm.
     is_repeatable: bool
     ticket: Ticket | None
+    # Which attempt of its chain the request is, and how many are left.
+    attempt: int
+    retries_left: int
+    # Whether the caller can send it again under the same name.
+    is_named: bool
 
 
 def read_context(scope: Any, here: str) -> Result[RequestContext, NotRun]:
@@ -77,6 +88,9 @@
         _body_bytes(headers),
         _is_repeatable(scope['method'], headers),
         _ticket(headers),
+        _number(headers, ATTEMPT_HEADER, _MOST_ATTEMPTS) or FIRST_ATTEMPT,
+        _retries_left(headers),
+        REQUEST_ID_HEADER in headers or _IDEMPOTENCY_KEY in headers,
     )
 
 
@@ -100,7 +114,13 @@
 
 
 def _is_repeatable(method: str, headers: Mapping[bytes, bytes]) -> bool:
-    return method in _SAFE_METHODS or headers.get(REPEATABLE_HEADER) == b'true'
+    return method in _SAFE_METHODS or headers.get(REPEATABLE_HEADER) in _YES
+
+
+def _retries_left(headers: Mapping[bytes, bytes]) -> int:
+    if RETRIES_LEFT_HEADER not in headers:
+        return DEFAULT_RETRY_POLICY.most_retries
+    return _number(headers, RETRIES_LEFT_HEADER, _MOST_ATTEMPTS)
 
 
 def _ticket(headers: Mapping[bytes, bytes]) -> Ticket | None:
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -6,6 +6,7 @@
 from blacksheep import Application, Content, Request, Response
 
 from carobmoor.burn import take_snapshots
+from carobmoor.client import policy_of
 from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._configure import route_configuration
 from carobmoor.node._peers import route_peers
@@ -21,6 +22,7 @@
 from carobmoor.node._state import NodeState
 from carobmoor.node._ticket_routes import route_tickets
 from carobmoor.outcomes import Code
+from carobmoor.routing import encode_report
 
 _PREFIX: Final = '/_carobmoor'
 _MOST_LISTED: Final = 100
@@ -70,6 +72,13 @@
     async def status() -> Response:
         return as_json(OK, _status_of(node))
 
+    async def load() -> Response:
+        content = Content(b'application/json', encode_report(node.report()))
+        return Response(OK, content=content)
+
+    async def policy() -> Response:
+        return as_json(OK, policy_of(node.dispatcher))
+
     async def metrics() -> Response:
         node.metrics.in_flight.set(node.gate.state.in_flight_total)
         node.metrics.queued.set(node.gate.state.queued_total)
@@ -97,6 +106,8 @@
 
     app.router.add_get(f'{_PREFIX}/burn', burn)
     app.router.add_get(f'{_PREFIX}/status', status)
+    app.router.add_get(f'{_PREFIX}/load', load)
+    app.router.add_get(f'{_PREFIX}/policy', policy)
     app.router.add_get(f'{_PREFIX}/metrics', metrics)
 
 
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any, Final
 
-from carobmoor.client import Dispatcher, learn_service
+from carobmoor.client import Dispatcher, keep_probing, learn_service
 from carobmoor.history import Kind
 from carobmoor.membership import (
     Gossip,
@@ -68,6 +68,9 @@
         asyncio.create_task(node.gossip.run()),
         asyncio.create_task(node.gate.watch()),
         asyncio.create_task(node.quarantine.spread.run()),
+        asyncio.create_task(
+            keep_probing(node.dispatcher.routing, node.pools.nodes),
+        ),
     ]
     if node.pools.certificate is not None:
         watched = watch_certificate(node.pools.certificate)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -8,7 +8,9 @@
 
 from carobmoor.admission import Arrival
 from carobmoor.client import (
+    ATTEMPT_HEADER,
     REQUEST_ID_HEADER,
+    RETRIES_LEFT_HEADER,
     Call,
     failure_of,
 )
@@ -20,6 +22,7 @@
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._guard import note_lost, suspect_of
 from carobmoor.node._once import grant_headers, run_once
+from carobmoor.node._placing import is_for_another, note_end, runs_here
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
 from carobmoor.node._state import NodeState
 from carobmoor.node._watch import CallerGone, unless_gone
@@ -31,6 +34,7 @@
     AnswerBroken,
     HeaderList,
     OutgoingRequest,
+    parse_address,
 )
 from carobmoor.transport import (
     send as send_request,
@@ -73,26 +77,13 @@
         await exchange.body.open()
     except BodyFault as fault:
         return NotRun(fault.code, 'read_request', node.here)
-    if _is_own(node, exchange.context):
+    if is_for_another(node, exchange.context):
+        return NotRun(Code.NOT_OWNER, 'read_request', node.here)
+    if runs_here(node, exchange.context):
         return await run_once(node, exchange, _own)
     return await _run_for_caller(exchange, _forward(node, exchange))
 
 
-def _is_own(node: NodeState, context: RequestContext) -> bool:
-    """Tell whether a request is to run here, at its owner.
-
-    What comes from plain callers may be for another owner of the service:
-    the one that its ticket names, or any other while this node leaves.
-    """
-    if context.service != node.service:
-        return False
-    if context.owner:
-        return True
-    if context.ticket is not None:
-        return context.ticket.owner == node.here
-    return not node.gate.is_leaving
-
-
 async def _own(node: NodeState, exchange: Exchange) -> Failure | None:
     """Run a request on the backend server beside this node."""
     context = exchange.context
@@ -179,12 +170,14 @@
         exchange.body.first,
         exchange.body.rest,
     )
+    begun_s = time.monotonic()
     sent = await send_request(
         node.pools.backend_server,
         node.backend_server,
         request,
         exchange.left_s,
     )
+    note_end(node, exchange, sent, begun_s)
     if isinstance(sent, Err):
         await note_lost(node, exchange, permit, sent.err_value)
         return _lost(exchange, failure_of(sent.err_value))
@@ -205,6 +198,7 @@
 async def _forward(node: NodeState, exchange: Exchange) -> Failure | None:
     """Send a plain caller's request on to an owner of its service."""
     context = exchange.context
+    exchange.is_forwarded = True
     call = Call(
         context.service,
         context.method,
@@ -219,8 +213,11 @@
         caller=exchange.caller,
         repeatable=context.is_repeatable,
         ticket=context.ticket,
+        attempt=context.attempt,
+        retries_left=context.retries_left,
     )
-    sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call)
+    here = (parse_address(node.here),)
+    sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call, here)
     if isinstance(sent, Err):
         return sent.err_value
     exchange.note('forwarding', 'answered', str(sent.ok_value.address))
@@ -263,13 +260,17 @@
 def _backend_headers(exchange: Exchange) -> HeaderList:
     context = exchange.context
     left_ms = max(1, int(exchange.left_s * _MS_PER_S))
-    return (
-        *end_to_end(exchange.headers),
+    chain = (
         (REQUEST_ID_HEADER, context.request_id.encode()),
         (b'x-carobmoor-rank', context.rank.encode()),
         (b'x-carobmoor-depth', b'%d' % context.depth),
         (b'x-carobmoor-deadline-ms', b'%d' % left_ms),
     )
+    retries = (
+        (ATTEMPT_HEADER, b'%d' % context.attempt),
+        (RETRIES_LEFT_HEADER, b'%d' % context.retries_left),
+    )
+    return (*end_to_end(exchange.headers), *chain, *retries)
 
 
 def _forwarded_headers(exchange: Exchange) -> HeaderList:
--- a/carobmoor/node/_exchange.py
+++ b/carobmoor/node/_exchange.py
@@ -41,6 +41,7 @@
         self.deadline_s = self.started_s + deadline_ms / _MS_PER_S
         self.notes: list[Note] = []
         self.queued_s = float(0)
+        self.is_forwarded = False
         self.served_s = float(0)
         self.floor = _floor_of(declared)
         transport = scope['extensions'][TRANSPORT_EXTENSION]
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -7,13 +7,15 @@
 
 from carobmoor.admission import AdmissionPolicy, Gate
 from carobmoor.burn import BurnState, Objective, recorded_services
-from carobmoor.client import Dispatcher
+from carobmoor.client import DispatchCollector, Dispatcher
 from carobmoor.configuration import (
     Accepted,
     ConfigurationState,
     admission_policy_of,
     objectives_of,
     quarantine_policy_of,
+    retry_policy_of,
+    routing_policy_of,
 )
 from carobmoor.explain import RecordState
 from carobmoor.history import Kind, make_recorder
@@ -29,15 +31,19 @@
     QuarantineState,
     Spread,
 )
-from carobmoor.routing import LoadReport
+from carobmoor.routing import (
+    BackendRecord,
+    LoadReport,
+    outcome_age_ms,
+    service_time_us,
+    success_permille,
+)
 from carobmoor.telemetry import NodeMetrics
 from carobmoor.tickets import TicketPolicy, TicketTable
 from carobmoor.transport import Address, parse_address
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
 _MAY_RUN: Final = frozenset((Standing.ALIVE, Standing.SUSPECT))
-_MS_PER_S: Final = 1000
-_US_PER_S: Final = 1_000_000
 
 
 class NodeState:
@@ -62,6 +68,8 @@
         self.dispatcher = dispatcher
         self.gossip = gossip
         self.metrics = NodeMetrics()
+        self.metrics.registry.register(DispatchCollector(dispatcher))
+        self.served = BackendRecord()
         self.record = make_recorder(
             settings.get('history_path', ''),
             self.here,
@@ -87,7 +95,11 @@
         self.tickets = TicketTable(self.here, TicketPolicy(), time.monotonic())
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
-        self.target_s_by_rank: Mapping[str, float] = {}
+
+    @property
+    def target_s_by_rank(self) -> Mapping[str, float]:
+        """The latency of each rank within which an answer counts as good."""
+        return self.dispatcher.routing.policy.target_s_by_rank
 
     def objectives(self) -> Sequence[Objective]:
         """Give the objectives of every service that was recorded here."""
@@ -100,12 +112,15 @@
     def report(self) -> LoadReport:
         """Tell the load of the backend server as it is now."""
         admission = self.gate.state
+        now_s = time.monotonic()
         return LoadReport(
             max(1, admission.policy.slots),
             admission.in_flight_total,
             admission.queued_total,
-            int(admission.service_time_s * _US_PER_S),
+            service_time_us(self.served),
             self.gate.is_leaving,
+            success_permille(self.served, now_s),
+            outcome_age_ms(self.served, now_s),
         )
 
     def count(
@@ -137,10 +152,8 @@
         names = [rank['name'] for rank in document['ranks']]
         self.rank_names = frozenset(names)
         self.default_rank = names[-1]
-        self.target_s_by_rank = {
-            rank['name']: rank['target_latency_ms'] / _MS_PER_S
-            for rank in document['ranks']
-        }
+        self.dispatcher.routing.replace_policy(routing_policy_of(document))
+        self.dispatcher.retries.replace_policy(retry_policy_of(document))
         self.metrics.configuration_version.set(accepted.head.version)
         self.gossip.announce_version(accepted.head.version)
         self.record(
--- a/carobmoor/outcomes/_failures.py
+++ b/carobmoor/outcomes/_failures.py
@@ -26,6 +26,7 @@
     LEAVING = 'leaving'
     NOT_READY = 'not_ready'
     NO_CANDIDATE = 'no_candidate'
+    NOT_OWNER = 'not_owner'
     NOT_SENT = 'not_sent'
     ALREADY_RUN = 'already_run'
     TICKET_REFUSED = 'ticket_refused'
--- /dev/null
+++ b/carobmoor/retries/__init__.py
@@ -0,0 +1,49 @@
+"""How many calls may be sent beyond those that callers asked for.
+
+Budgets for retries and hedges, and the latency after which a call is hedged;
+plain functions over `RetryState`, without a clock of their own.
+"""
+
+from carobmoor.retries._bucket import (
+    TokenBucket,
+    can_take,
+    charge,
+    deposit,
+    refill,
+    resize,
+    take,
+)
+from carobmoor.retries._budget import (
+    RetryState,
+    ServiceBudget,
+    call_offered,
+    call_succeeded,
+    hedge_delay_s,
+    take_hedge,
+    take_retry,
+)
+from carobmoor.retries._policy import (
+    DEFAULT_RETRY_POLICY,
+    FIRST_ATTEMPT,
+    RetryPolicy,
+)
+
+__all__ = [
+    'DEFAULT_RETRY_POLICY',
+    'FIRST_ATTEMPT',
+    'RetryPolicy',
+    'RetryState',
+    'ServiceBudget',
+    'TokenBucket',
+    'call_offered',
+    'call_succeeded',
+    'can_take',
+    'charge',
+    'deposit',
+    'hedge_delay_s',
+    'refill',
+    'resize',
+    'take',
+    'take_hedge',
+    'take_retry',
+]
--- /dev/null
+++ b/carobmoor/retries/tests/test_budget.py
@@ -0,0 +1,121 @@
+"""Tests of the budgets for retries and hedges."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from carobmoor.retries import (
+    RetryPolicy,
+    RetryState,
+    TokenBucket,
+    call_offered,
+    call_succeeded,
+    charge,
+    deposit,
+    hedge_delay_s,
+    refill,
+    take,
+    take_hedge,
+    take_retry,
+)
+
+SERVICE = 'bookings'
+STEPS = st.sampled_from(('deposit', 'take', 'charge', 'refill'))
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(STEPS, st.floats(0, 50)), max_size=60))
+def test_bucket_is_never_negative(steps):
+    """Neither the level nor the debt, and never above the capacity."""
+    bucket = TokenBucket(10, per_s=2)
+    now_s = 0
+    taken = float(0)
+    put = float(0)
+    for step, amount in steps:
+        if step == 'deposit':
+            deposit(bucket, amount)
+            put += amount
+        elif step == 'charge':
+            charge(bucket, amount)
+            taken += amount
+        elif step == 'refill':
+            now_s += amount
+            refill(bucket, now_s)
+        elif take(bucket, amount):
+            taken += amount
+        assert 0 <= bucket.level <= 10
+        assert bucket.owed >= 0
+        assert taken - bucket.owed <= 10 + put + 2 * now_s + 0.001
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.sampled_from(('success', 'inherited', 'retry', 'hedge')),
+        max_size=300,
+    ),
+    st.sampled_from((0, 0.05, 0.1)),
+    st.sampled_from((0, 1, 20)),
+)
+def test_extra_calls_are_a_share_of_successes(events, share, reserve):
+    """Retries and hedges stay below the reserve and the share earned."""
+    policy = RetryPolicy(retry_share=share, retry_reserve=reserve)
+    state = RetryState(policy)
+    budget = state.of(SERVICE)
+    successes = 0
+    for event in events:
+        if event == 'success':
+            call_offered(state, SERVICE, 1)
+            call_succeeded(state, SERVICE, '', 1, 0.01)
+            successes += 1
+        elif event == 'inherited':
+            call_offered(state, SERVICE, 2)
+        elif event == 'retry':
+            take_retry(state, SERVICE)
+        else:
+            take_hedge(state, SERVICE)
+        allowed = reserve + share * successes + 0.001
+        own = budget.retries + budget.hedged
+        assert own <= allowed
+
+
+def test_inherited_attempts_use_up_the_budget():
+    """What retries above send down leaves less to retry here."""
+    state = RetryState(RetryPolicy(retry_reserve=5))
+    for _ in range(5):
+        call_offered(state, SERVICE, 2)
+    assert not take_retry(state, SERVICE)
+    call_offered(state, SERVICE, 2)
+    for _ in range(15):
+        call_succeeded(state, SERVICE, '', 1, 0.01)
+    # One and a half were earned, and one was owed.
+    assert not take_retry(state, SERVICE)
+
+
+def test_success_of_a_retry_earns_nothing():
+    """Only calls at the first attempt of their chain earn retries."""
+    state = RetryState(RetryPolicy(retry_reserve=1))
+    assert take_retry(state, SERVICE)
+    for _ in range(100):
+        call_succeeded(state, SERVICE, '', 2, 0.01)
+    assert not take_retry(state, SERVICE)
+
+
+@params((0.5, 0.05), (0.9, 0.09), (0.99, 0.099))
+def test_hedge_delay_is_a_quantile_of_the_rank(quantile, expected_s):
+    """Exact to a bucket, and known only after enough calls."""
+    state = RetryState(RetryPolicy(hedge_quantile=quantile))
+    assert hedge_delay_s(state, SERVICE, 'urgent') is None
+    for at in range(1000):
+        call_succeeded(state, SERVICE, 'urgent', 1, (at % 100) / 1000)
+        call_succeeded(state, SERVICE, 'upload', 1, 5)
+    delay_s = hedge_delay_s(state, SERVICE, 'urgent')
+    assert expected_s <= delay_s <= expected_s * 1.2
+
+
+def test_hedges_leave_half_of_the_reserve():
+    """Many hedges can't keep a refused call from its retry."""
+    state = RetryState(RetryPolicy(retry_reserve=20, hedge_share=1))
+    while take_hedge(state, SERVICE):
+        call_succeeded(state, SERVICE, '', 2, 0.01)
+    assert state.of(SERVICE).extra.level >= 10
--- a/carobmoor/routing/__init__.py
+++ b/carobmoor/routing/__init__.py
@@ -4,32 +4,62 @@
 random source.
 """
 
-from carobmoor.routing._choose import choose
+from carobmoor.routing._choose import choose, note_paid_answer
+from carobmoor.routing._eject import most_ejected
+from carobmoor.routing._learn import call_ended, call_started, note_report
 from carobmoor.routing._messages import (
     REPORT_HEADER,
+    CallEnd,
     Candidate,
+    ChoiceQuery,
     LoadReport,
+    Outcome,
     decode_report,
     encode_report,
 )
+from carobmoor.routing._policy import DEFAULT_ROUTING_POLICY, RoutingPolicy
+from carobmoor.routing._probes import ProbeBudget, next_probe, probe_ended
+from carobmoor.routing._record import (
+    BackendRecord,
+    note_served,
+    outcome_age_ms,
+    service_time_us,
+    success_permille,
+)
 from carobmoor.routing._state import (
+    CandidateState,
     RoutingState,
-    call_ended,
-    call_started,
+    ServiceState,
     keep_candidates,
-    note_report,
 )
 
 __all__ = [
+    'DEFAULT_ROUTING_POLICY',
     'REPORT_HEADER',
+    'BackendRecord',
+    'CallEnd',
     'Candidate',
+    'CandidateState',
+    'ChoiceQuery',
     'LoadReport',
+    'Outcome',
+    'ProbeBudget',
+    'RoutingPolicy',
     'RoutingState',
+    'ServiceState',
     'call_ended',
     'call_started',
     'choose',
     'decode_report',
     'encode_report',
     'keep_candidates',
+    'most_ejected',
+    'next_probe',
+    'note_paid_answer',
     'note_report',
+    'note_served',
+    'outcome_age_ms',
+    'probe_ended',
+    'service_time_us',
+    'success_permille',
 ]
--- a/carobmoor/routing/_messages.py
+++ b/carobmoor/routing/_messages.py
@@ -1,5 +1,7 @@
-"""Load reports and the candidates of a choice."""
+"""Load reports, candidates, and what the choice is asked."""
 
+import enum
+from collections.abc import Container
 from typing import Final, NamedTuple
 
 import msgspec
@@ -7,6 +9,7 @@
 from carobmoor.transport import Address
 
 REPORT_HEADER: Final = b'x-carobmoor-report'
+_PERMILLE: Final = 1000
 
 
 class LoadReport(NamedTuple):
@@ -17,6 +20,15 @@
     queued: int
     service_time_us: int
     is_leaving: bool
+    # The share of recent requests that the backend server answered well.
+    success_permille: int = _PERMILLE
+    # How long ago the backend server last ended a request.
+    outcome_age_ms: int = 0
+
+    @property
+    def success_rate(self) -> float:
+        """The share of recent successes as the owner saw them."""
+        return self.success_permille / _PERMILLE
 
 
 class Candidate(NamedTuple):
@@ -25,6 +37,41 @@
     address: Address
     region: str
     availability_zone: str
+    incarnation: int = 0
+    # The membership was told that this node doesn't answer.
+    is_suspect: bool = False
+
+
+class Outcome(enum.Enum):
+    """What a call that ended tells about its candidate."""
+
+    SUCCEEDED = 'succeeded'
+    # Not run by the owner's word, lost, or answered with a server's error.
+    FAILED = 'failed'
+    # Nobody listens at the candidate's address.
+    UNREACHABLE = 'unreachable'
+    # Cancelled here, or refused for a fault of the request itself.
+    NEUTRAL = 'neutral'
+
+
+class CallEnd(NamedTuple):
+    """How a call ended, and whether its latency says anything."""
+
+    outcome: Outcome
+    rank: str = ''
+    # False where the latency depends on a body that the caller streamed.
+    is_timed: bool = True
+
+
+class ChoiceQuery(NamedTuple):
+    """A call for which an owner is to be chosen."""
+
+    tried: Container[Address] = ()
+    rank: str = ''
+    # What the request would take of a link between regions.
+    request_bytes: int = 0
+    # Trials of a candidate that failed before go to repeatable calls.
+    is_repeatable: bool = False
 
 
 _decoder: Final = msgspec.json.Decoder(LoadReport)
--- /dev/null
+++ b/carobmoor/routing/_record.py
@@ -0,0 +1,64 @@
+"""What an owner learns of its backend server and tells in its reports."""
+
+import math
+from typing import Final
+
+from carobmoor.routing._rate import SuccessRate
+
+_SUCCESS_SMOOTHING: Final = 0.1
+_SERVICE_SMOOTHING: Final = 0.1
+_SHORTEST_S: Final = 0.0001
+_US_PER_S: Final = 1_000_000
+_PERMILLE: Final = 1000
+_MS_PER_S: Final = 1000
+
+
+class BackendRecord:
+    """The recent success rate and service time of one backend server.
+
+    The service time is a geometric mean, so that one large transfer doesn't
+    make its server look like a straggler.
+    """
+
+    def __init__(self) -> None:
+        """Start without a request."""
+        self.success = SuccessRate(_SUCCESS_SMOOTHING)
+        self.log_service_s: float | None = None
+
+
+def note_served(
+    record: BackendRecord,
+    succeeded: bool,
+    service_s: float | None,
+    now_s: float,
+) -> None:
+    """Take in one request that the backend server ended.
+
+    `service_s` is `None` where the time says nothing about the server, as
+    when the caller was slow to send the body.
+    """
+    record.success.note(succeeded, now_s)
+    if not succeeded or service_s is None:
+        return
+    logged = math.log(max(_SHORTEST_S, service_s))
+    if record.log_service_s is None:
+        record.log_service_s = logged
+    gap = logged - record.log_service_s
+    record.log_service_s += _SERVICE_SMOOTHING * gap
+
+
+def service_time_us(record: BackendRecord) -> int:
+    """Give the usual service time; 0 while it is unknown."""
+    if record.log_service_s is None:
+        return 0
+    return int(math.exp(record.log_service_s) * _US_PER_S)
+
+
+def outcome_age_ms(record: BackendRecord, now_s: float) -> int:
+    """Tell how long ago a request ended last."""
+    return int((now_s - record.success.noted_at_s) * _MS_PER_S)
+
+
+def success_permille(record: BackendRecord, now_s: float) -> int:
+    """Give the share of recent successes."""
+    return round(record.success.at(now_s) * _PERMILLE)
--- a/carobmoor/routing/_state.py
+++ b/carobmoor/routing/_state.py
@@ -1,83 +1,196 @@
 """What a caller's side knows of the candidates of each service."""
 
+import math
+from collections import defaultdict
 from collections.abc import Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
+from carobmoor.retries import TokenBucket
 from carobmoor.routing._messages import Candidate, LoadReport
+from carobmoor.routing._policy import DEFAULT_ROUTING_POLICY, RoutingPolicy
+from carobmoor.routing._rate import SuccessRate
 from carobmoor.transport import Address
 
-_SMOOTHING: Final = 0.2
+_SUCCESS_SMOOTHING: Final = 0.2
+# Distances: the own availability zone, the own region, and beyond.
+HERE: Final = 0
+NEAR: Final = 1
+FAR: Final = 2
+# How many seconds of a rank's budget may be spent at once.
+_PAID_BURST_S: Final = 1
+
+
+class Ejection:
+    """A candidate that gets no calls but trials."""
+
+    def __init__(self, now_s: float, wanted_trials: int) -> None:
+        """Eject now; so many good trials in a row end it."""
+        self.trial_at_s = now_s
+        # Since when a report is wanted before the next trial.
+        self.asked_at_s: float | None = None
+        self.calls_since_trial = 0
+        self.wanted_trials = wanted_trials
+        self.good_trials = 0
 
 
 class CandidateState:
     """The knowledge about one candidate, most of it stale."""
 
     def __init__(self, candidate: Candidate) -> None:
-        """Start without a report."""
+        """Start without a report; the place is set by `keep_candidates`."""
         self.candidate = candidate
-        self.own_in_flight = 0
+        self.distance = NEAR
+        # When each own call in flight started, the oldest first.
+        self.started_s: dict[int, float] = {}
         self.report: LoadReport | None = None
         self.reported_at_s = float(0)
+        # What others had in flight when the report was made.
+        self.others_in_flight = 0
+        self.is_leaving = False
         self.latency_s = float(0)
-        self.success_rate = float(1)
+        # Latencies over what is usual for their ranks.
+        self.pace = float(1)
+        self.latencies = 0
+        self.latency_at_s = float(0)
+        self.success = SuccessRate(_SUCCESS_SMOOTHING)
+        # How it compares with its peers, as last worked out.
+        self.slowness = float(1)
+        self.told_slowness = float(1)
+        self.relative_success = float(1)
+        self.ejection: Ejection | None = None
+        self.ramp_from_s: float | None = None
+        self.probed_at_s = float(0)
+
+    @property
+    def address(self) -> Address:
+        """Where the candidate listens."""
+        return self.candidate.address
+
+    @property
+    def own_in_flight(self) -> int:
+        """The calls of this process that the candidate has not answered."""
+        return len(self.started_s)
+
+
+class Typical(NamedTuple):
+    """What is usual among the candidates of a service."""
+
+    success_rate: float = 1
+    # Zero while no owner told one.
+    service_time_us: int = 0
+    # By distance: the usual pace of those that are no nearer; 0 if unknown.
+    paces: Sequence[float] = (0, 0, 0)
+
+
+class ServiceState:
+    """The candidates of one service, and what is common to them."""
+
+    def __init__(self) -> None:
+        """Start without candidates."""
+        self.candidates: dict[Address, CandidateState] = {}
+        self.called_at_s = float(0)
+        self.repeatable_at_s = float(0)
+        self.typical = Typical()
+        self.typical_at_s = -math.inf
+        # The logarithm of the usual latency of each rank, in seconds.
+        self.usual_log_s: dict[str, float] = {}
 
 
 class RoutingState:
     """The candidates of every service, by service and address."""
 
-    def __init__(self, region: str, availability_zone: str) -> None:
-        """Start without candidates, at a place from which to prefer."""
+    def __init__(
+        self,
+        region: str,
+        availability_zone: str,
+        policy: RoutingPolicy = DEFAULT_ROUTING_POLICY,
+    ) -> None:
+        """Start without candidates, at a place from which to prefer.
+
+        Without a region every candidate counts as near.
+        """
         self.region = region
         self.availability_zone = availability_zone
-        self.services: dict[str, dict[Address, CandidateState]] = {}
+        self.policy = policy
+        self.services: dict[str, ServiceState] = {}
+        self.paid_links: dict[str, TokenBucket] = {}
+        self.calls_started = 0
+        self.counts: defaultdict[str, float] = defaultdict(float)
 
     def of(self, service: str) -> Sequence[CandidateState]:
         """Give the candidates of a service."""
-        return tuple(self.services.get(service, {}).values())
+        known = self.services.get(service)
+        return () if known is None else tuple(known.candidates.values())
 
     def find(self, service: str, address: Address) -> CandidateState | None:
         """Give one candidate, if it still is one."""
-        return self.services.get(service, {}).get(address)
+        known = self.services.get(service)
+        return None if known is None else known.candidates.get(address)
+
+    def paid_link(self, rank: str) -> TokenBucket:
+        """Give the budget of a rank on the links between regions."""
+        bucket = self.paid_links.get(rank)
+        if bucket is None:
+            bytes_per_s = self.policy.paid_bytes_per_s(rank)
+            bucket = TokenBucket(bytes_per_s * _PAID_BURST_S, bytes_per_s)
+            self.paid_links[rank] = bucket
+        return bucket
+
+    def replace_policy(self, policy: RoutingPolicy) -> None:
+        """Put other limits in force; budgets of links start anew."""
+        if policy != self.policy:
+            self.policy = policy
+            self.paid_links = {}
 
 
 def keep_candidates(
     state: RoutingState,
     service: str,
     candidates: Sequence[Candidate],
+    now_s: float = 0,
 ) -> None:
-    """Replace the candidates of a service; knowledge of the kept ones stays."""
-    known = state.services.get(service, {})
-    state.services[service] = {
-        candidate.address: known.get(candidate.address)
-        or CandidateState(candidate)
+    """Replace the candidates of a service.
+
+    Knowledge of the kept ones stays. A candidate that is new, or started
+    anew, ramps up from a small share; those known from the start don't.
+    """
+    known = state.services.get(service)
+    if known is None:
+        known = ServiceState()
+        state.services[service] = known
+    before = known.candidates
+    known.candidates = {
+        candidate.address: _kept(before, candidate, now_s)
         for candidate in candidates
     }
+    for kept in known.candidates.values():
+        kept.distance = _distance_of(state, kept.candidate)
 
 
-def call_started(candidate: CandidateState) -> None:
-    """Count a call on its way to a candidate."""
-    candidate.own_in_flight += 1
+def _distance_of(state: RoutingState, candidate: Candidate) -> int:
+    if not state.region:
+        return NEAR
+    if candidate.region != state.region:
+        return FAR
+    same_zone = candidate.availability_zone == state.availability_zone
+    return HERE if same_zone else NEAR
 
 
-def call_ended(
-    candidate: CandidateState,
-    latency_s: float,
-    succeeded: bool,
-) -> None:
-    """Learn from a call that ended; refusals are no successes."""
-    candidate.own_in_flight -= 1
-    gap = float(succeeded) - candidate.success_rate
-    candidate.success_rate += _SMOOTHING * gap
-    if succeeded:
-        gap_s = latency_s - candidate.latency_s
-        candidate.latency_s += _SMOOTHING * gap_s
-
-
-def note_report(
-    candidate: CandidateState,
-    report: LoadReport,
+def _kept(
+    before: dict[Address, CandidateState],
+    candidate: Candidate,
     now_s: float,
-) -> None:
-    """Keep the newest report of a candidate."""
-    candidate.report = report
-    candidate.reported_at_s = now_s
+) -> CandidateState:
+    known = before.get(candidate.address)
+    if known is None:
+        fresh = CandidateState(candidate)
+        fresh.ramp_from_s = now_s if before else None
+        return fresh
+    if known.candidate.incarnation == candidate.incarnation:
+        known.candidate = candidate
+        return known
+    fresh = CandidateState(candidate)
+    # Its calls in flight still end here.
+    fresh.started_s = known.started_s
+    fresh.ramp_from_s = now_s
+    return fresh
--- /dev/null
+++ b/carobmoor/routing/tests/test_probes.py
@@ -0,0 +1,51 @@
+"""Tests of the budget for measuring."""
+
+from nose2.tools import params
+
+from carobmoor.routing import (
+    ChoiceQuery,
+    ProbeBudget,
+    RoutingPolicy,
+    choose,
+    next_probe,
+    note_report,
+    probe_ended,
+)
+from carobmoor.routing.tests.fixtures import (
+    SERVICE,
+    WELL,
+    address,
+    seeded,
+    state_of,
+)
+
+
+@params(
+    (RoutingPolicy(probe_bytes_per_s=1000, probe_core_share=1), 21),
+    (RoutingPolicy(probe_bytes_per_s=10**6, probe_core_share=0.001), 11),
+    (RoutingPolicy(probe_bytes_per_s=0), 0),
+    (RoutingPolicy(probe_core_share=0), 1),
+)
+def test_probes_keep_both_budgets(policy, most):
+    """In ten seconds, at 500 bytes and 1 ms of processor a probe."""
+    state = state_of('rrr', policy)
+    budget = ProbeBudget(policy)
+    for at in range(100):
+        now_s = at / 10
+        choose(state, SERVICE, ChoiceQuery(), now_s, seeded())
+        found = next_probe(state, budget, now_s)
+        if found is not None:
+            found[1].probed_at_s = now_s
+            probe_ended(state, budget, 500, 0.001)
+    assert state.counts['probes'] in {most, most - 1, most + 1}
+
+
+def test_only_stale_near_candidates_are_probed():
+    """A fresh report, a far place and disuse each spare the probe."""
+    state = state_of('rrf')
+    budget = ProbeBudget(state.policy)
+    assert next_probe(state, budget, 100) is None
+    choose(state, SERVICE, ChoiceQuery(), 100, seeded())
+    fresh = state.find(SERVICE, address(0))
+    note_report(state, SERVICE, fresh, WELL, 100)
+    assert next_probe(state, budget, 100)[1].address == address(1)
