--- /dev/null
+++ b/carobmoor/client/tests/test_metrics.py
@@ -0,0 +1,53 @@
+"""Tests of the metrics of choice, measuring, retries and hedges."""
+
+import msgspec
+from prometheus_client import CollectorRegistry, generate_latest
+
+from carobmoor.client import Call, DispatchCollector, policy_of
+from carobmoor.client._policies import follow_policy
+from carobmoor.client.tests.fixtures import (
+    SERVICE,
+    ScriptedDispatcher,
+    asynchronous,
+    failed,
+)
+from carobmoor.retries import RetryPolicy
+from carobmoor.telemetry import NodeMetrics
+
+
+@asynchronous
+async def test_extra_calls_and_costs_are_exported():
+    """What was measured, and what was sent beyond the offered calls."""
+    dispatcher = ScriptedDispatcher((failed(),))
+    await dispatcher.dispatch(Call(SERVICE, 'GET', '/', repeatable=True))
+    dispatcher.routing.counts['probe_bytes'] += 300
+    registry = CollectorRegistry()
+    registry.register(DispatchCollector(dispatcher))
+    told = generate_latest(registry).decode()
+    for line in (
+        'carobmoor_calls_total{kind="offered",service="bookings"} 1.0',
+        'carobmoor_calls_total{kind="retry",service="bookings"} 2.0',
+        'carobmoor_retry_budget_left{service="bookings"} 18.0',
+        'carobmoor_routing_probe_bytes_total 300.0',
+        'carobmoor_routing_ejected_candidates{service="bookings"} 0.0',
+    ):
+        assert line in told.splitlines(), told
+
+
+def test_metrics_join_those_of_a_node():
+    """No name is taken twice."""
+    metrics = NodeMetrics()
+    collector = DispatchCollector(ScriptedDispatcher(()))
+    metrics.registry.register(collector)
+    assert b'carobmoor_routing_probes' in metrics.render()
+
+
+def test_policies_travel_to_callers():
+    """A caller's process follows what a node tells, and only that."""
+    node = ScriptedDispatcher(())
+    node.retries.replace_policy(RetryPolicy(most_retries=1))
+    caller = ScriptedDispatcher(())
+    follow_policy(caller, msgspec.json.encode(policy_of(node)))
+    assert caller.retries.policy.most_retries == 1
+    follow_policy(caller, b'{"routing": 7}')
+    assert caller.retries.policy.most_retries == 1
