Leave without a cut: drain, undo, stop, upgrade

Cause: a drain could not be undone, let queued work start at any later time and had no bound; idle connections were closed under requests that were just being written.

Ruled out: serving the whole queue (work would start on a leaving backend server after 2 s); refusing the whole queue at once (each loses its place elsewhere, though most would start within the second); closing idle connections silently (a request on its way there becomes "unknown").

Change: `carobmoor drain` can be undone (`--undo`) until the node begins to close connections, under a new membership incarnation; `--keep` drains without ending the process. Queued work may start for 1 s, then it is refused as leaving. SIGTERM drains, lingers, waits for its own work, tells idle connections 408 with "not run, leaving" before it closes them, keeps the listener for 300 ms so that lost copies can ask, and ends. After `leave_most_ms` what runs is cut, logged and counted (carobmoor_requests_cut_total). The library closes its idle connections to a node that reports that it leaves.

--- a/carobmoor/admission/_gate.py
+++ b/carobmoor/admission/_gate.py
@@ -1,6 +1,7 @@
 """Lets the tasks of requests wait for their slot."""
 
 import asyncio
+import math
 import time
 from typing import Final
 
@@ -100,6 +101,12 @@
         if self._left is not None and not self._left.done():
             self._left.set_result(None)
 
+    def refuse_waiting(self) -> None:
+        """Refuse whoever still waits, because the node leaves."""
+        for drop in expire(self.state, math.inf):
+            self._settle(drop.number, Code.LEAVING)
+        self.pump()
+
     async def watch(self) -> None:
         """Refuse the lapsed in time, also when no slot comes free."""
         while True:
--- a/carobmoor/cli/_admin.py
+++ b/carobmoor/cli/_admin.py
@@ -142,13 +142,17 @@
     print_json(request_node(node, _GET, '/_carobmoor/status').body)
 
 
-def drain(node: str) -> None:
+def drain(node: str, undo: bool = False, keep: bool = False) -> None:
     """Make a node leave gracefully.
 
     Args:
         node: A node's address as IP:PORT.
+        undo: Take work again, while the node has not stopped.
+        keep: Refuse new work but keep the process until SIGTERM.
     """
-    print_json(request_node(node, 'POST', '/_carobmoor/drain').body)
+    method = 'DELETE' if undo else 'POST'
+    query = '?keep=1' if keep else ''
+    print_json(request_node(node, method, f'/_carobmoor/drain{query}').body)
 
 
 def call(
--- a/carobmoor/client/_dispatch.py
+++ b/carobmoor/client/_dispatch.py
@@ -209,6 +209,10 @@
         known = self.routing.find(call.service, answer.address)
         if report is not None and known is not None:
             note_report(known, report, time.monotonic())
+        if report is not None and report.is_leaving:
+            # Whoever closes an idle connection first can't lose a request
+            # that the other side is just writing.
+            self._pool.forget(answer.address)
 
 
 def failure_of(failure: CallFailure) -> Failure:
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -1,6 +1,5 @@
 """The control paths of a node, under `/_carobmoor/`."""
 
-from collections.abc import Callable
 from typing import Final, TypedDict
 
 from blacksheep import Application, Content, Request, Response
@@ -8,6 +7,7 @@
 from carobmoor.burn import take_snapshots
 from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._configure import route_configuration
+from carobmoor.node._departure import Departure
 from carobmoor.node._peers import route_peers
 from carobmoor.node._quarantine import route_quarantine
 from carobmoor.node._replies import (
@@ -42,7 +42,7 @@
 
 def make_control_plane(
     node: NodeState,
-    start_leaving: Callable[[], None],
+    departure: Departure,
 ) -> Application:
     """Make the application that serves the control paths."""
     app = Application(show_error_details=False)
@@ -59,10 +59,24 @@
         refused = refuse_stranger(node, operator)
         if refused is not None:
             return refused
-        start_leaving()
+        departure.drain()
+        if not request.query.get('keep'):
+            departure.stop.set()
+        return as_json(OK, _status_of(node))
+
+    async def undo_drain(request: Request) -> Response:
+        operator = operator_of(node, request)
+        if operator is None:
+            return unauthorised(node)
+        refused = refuse_stranger(node, operator)
+        if refused is not None:
+            return refused
+        if not departure.undo_drain():
+            return refuse(node, Code.CONFLICT, 'the node is stopping')
         return as_json(OK, _status_of(node))
 
     app.router.add_post(f'{_PREFIX}/drain', drain)
+    app.router.add_delete(f'{_PREFIX}/drain', undo_drain)
     return app
 
 
@@ -73,6 +87,7 @@
     async def metrics() -> Response:
         node.metrics.in_flight.set(node.gate.state.in_flight_total)
         node.metrics.queued.set(node.gate.state.queued_total)
+        node.metrics.decisions.set(len(node.tickets.decisions))
         content = Content(b'text/plain; version=0.0.4', node.metrics.render())
         return Response(OK, content=content)
 
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -18,6 +18,7 @@
 )
 from carobmoor.node._control import make_control_plane
 from carobmoor.node._data_plane import make_data_plane
+from carobmoor.node._departure import Departure, leave
 from carobmoor.node._pools import make_pools
 from carobmoor.node._server import make_server
 from carobmoor.node._settings import Settings
@@ -29,7 +30,6 @@
 from carobmoor.transport import Address, parse_address
 
 _CONTROL_PREFIX: Final = '/_carobmoor/'
-_DEFAULT_LINGER_MS: Final = 2000
 _DEFAULT_MOST_HEADER_BYTES: Final = 32768
 _MS_PER_S: Final = 1000
 _COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
@@ -40,23 +40,23 @@
     """Run a node until it is told to stop and has left gracefully."""
     configure_logs(settings.get('log_level', 'info'))
     node = _assemble(settings)
-    leaving = asyncio.Event()
+    departure = Departure(node)
     server = make_server(
-        _make_application(node, leaving),
+        _make_application(node, departure),
         Address(**settings['listen']),
         settings.get('most_header_bytes', _DEFAULT_MOST_HEADER_BYTES),
         node.pools.listener,
     )
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, leaving.set)
+        loop.add_signal_handler(signal_number, departure.order_stop)
     _quiet_collector()
     _log.info('Node starts.', address=node.here, service=node.service)
-    await _serve(node, server, leaving)
+    await _serve(node, server, departure)
     _log.info('Node stopped.', address=node.here)
 
 
-async def _serve(node: NodeState, server: Any, leaving: asyncio.Event) -> None:
+async def _serve(node: NodeState, server: Any, departure: Departure) -> None:
     background = [
         asyncio.create_task(node.configuration.run()),
         asyncio.create_task(_join(node)),
@@ -71,7 +71,7 @@
         watched = watch_certificate(node.pools.certificate)
         background.append(asyncio.create_task(watched))
     serving = asyncio.create_task(server.serve())
-    leaver = asyncio.create_task(_leave(node, leaving))
+    leaver = asyncio.create_task(leave(departure, server))
     await asyncio.wait(
         (serving, leaver),
         return_when=asyncio.FIRST_COMPLETED,
@@ -84,18 +84,6 @@
     node.pools.close()
 
 
-async def _leave(node: NodeState, leaving: asyncio.Event) -> None:
-    """Refuse new work, tell the others, and wait for the running work."""
-    await leaving.wait()
-    node.gate.is_leaving = True
-    node.gossip.leave()
-    _log.info('Node leaves.', in_flight=node.gate.state.in_flight_total)
-    linger_ms = node.settings.get('leave_linger_ms', _DEFAULT_LINGER_MS)
-    await asyncio.sleep(linger_ms / _MS_PER_S)
-    await node.gate.wait_idle()
-    node.gossip.say_farewell()
-
-
 async def _join(node: NodeState) -> None:
     """Meet other nodes through the settings and the table service."""
     peers = [parse_address(peer) for peer in node.settings.get('peers', ())]
@@ -148,9 +136,9 @@
     return state
 
 
-def _make_application(node: NodeState, leaving: asyncio.Event) -> Any:
-    data_plane = make_data_plane(node)
-    control_plane = make_control_plane(node, leaving.set)
+def _make_application(node: NodeState, departure: Departure) -> Any:
+    data_plane = make_data_plane(node, departure)
+    control_plane = make_control_plane(node, departure)
 
     async def application(scope: Any, receive: Any, send: Any) -> None:
         if scope['path'].startswith(_CONTROL_PREFIX):
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -16,6 +16,7 @@
 from carobmoor.node._account import account
 from carobmoor.node._body import BodyFault, Receive
 from carobmoor.node._context import RequestContext, read_context
+from carobmoor.node._departure import Departure
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._guard import note_lost, suspect_of
 from carobmoor.node._once import grant_headers, run_once
@@ -39,7 +40,7 @@
 Application = Callable[[Any, Receive, Send], Awaitable[None]]
 
 
-def make_data_plane(node: NodeState) -> Application:
+def make_data_plane(node: NodeState, departure: Departure) -> Application:
     """Make the ASGI application that serves callers' requests."""
 
     async def serve(scope: Any, receive: Receive, send: Send) -> None:
@@ -53,17 +54,27 @@
             await send_failure(send, declared.err_value, context.request_id)
             return
         exchange = Exchange(context, declared.ok_value, scope, receive, send)
-        failure = await _serve(node, exchange)
-        account(node, exchange, failure)
-        if failure is not None:
-            if not exchange.body.is_whole:
-                await exchange.body.discard()
-            extra = _own_headers(node, context)
-            await send_failure(send, failure, context.request_id, extra)
+        with departure.tracked(exchange):
+            failure = await _serve(node, exchange)
+            account(node, exchange, failure)
+            if failure is not None:
+                await _refuse(node, exchange, failure)
 
     return serve
 
 
+async def _refuse(
+    node: NodeState,
+    exchange: Exchange,
+    failure: Failure,
+) -> None:
+    context = exchange.context
+    if not exchange.body.is_whole:
+        await exchange.body.discard()
+    extra = _own_headers(node, context)
+    await send_failure(exchange.send, failure, context.request_id, extra)
+
+
 async def _serve(node: NodeState, exchange: Exchange) -> Failure | None:
     if exchange.context.body_bytes > exchange.most_body_bytes:
         return NotRun(Code.BODY_TOO_LARGE, 'read_request', node.here)
@@ -196,7 +207,10 @@
     if isinstance(sent, Err):
         return sent.err_value
     exchange.note('forwarding', 'answered', str(sent.ok_value.address))
-    extra = ((REQUEST_ID_HEADER, context.request_id.encode()),)
+    extra = (
+        (REQUEST_ID_HEADER, context.request_id.encode()),
+        *_closing_headers(node),
+    )
     await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
     return None
 
@@ -227,11 +241,14 @@
 def _own_headers(node: NodeState, context: RequestContext) -> HeaderList:
     headers = [(REPORT_HEADER, encode_report(node.report()))]
     headers.extend(grant_headers(node, context))
-    if node.gate.is_leaving:
-        headers.append((b'connection', b'close'))
+    headers.extend(_closing_headers(node))
     return headers
 
 
+def _closing_headers(node: NodeState) -> HeaderList:
+    return ((b'connection', b'close'),) if node.gate.is_leaving else ()
+
+
 def _backend_headers(exchange: Exchange) -> HeaderList:
     context = exchange.context
     left_ms = max(1, int(exchange.left_s * _MS_PER_S))
--- /dev/null
+++ b/carobmoor/node/_departure.py
@@ -0,0 +1,154 @@
+"""Draining, returning and stopping: the way a node leaves."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Iterator
+from typing import Any, Final
+
+from carobmoor.membership import Standing, declare_self
+from carobmoor.node._exchange import Exchange
+from carobmoor.node._state import NodeState
+from carobmoor.outcomes import Code
+from carobmoor.telemetry import logger_for
+
+_DEFAULT_LINGER_MS: Final = 2000
+_DEFAULT_MOST_MS: Final = 600_000
+_MS_PER_S: Final = 1000
+# How long queued work may still start; then it is refused, so that nothing
+# starts on the backend server 2 s after the drain.
+_QUEUE_GRACE_S: Final = 1
+# How long the listener stays open after idle connections were closed, so
+# that whoever lost a request there can ask what became of it.
+_ASK_GRACE_S: Final = 0.3
+_log = logger_for('leaving')
+
+
+class Departure:
+    """Whether a node drains or stops, and what runs on it meanwhile."""
+
+    def __init__(self, node: NodeState) -> None:
+        """Start taking work."""
+        self.stop = asyncio.Event()
+        self.node = node
+        self.drained_at_s = float(0)
+        # Whether it is too late to return.
+        self.is_final = False
+        self.finishing: asyncio.Task[None] | None = None
+        self.in_progress: set[Exchange] = set()
+        # Set while no request is in progress.
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self._queue_refusal: asyncio.TimerHandle | None = None
+
+    @contextlib.contextmanager
+    def tracked(self, exchange: Exchange) -> Iterator[None]:
+        """Hold the node up while a request is served."""
+        self.in_progress.add(exchange)
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.in_progress.discard(exchange)
+            if not self.in_progress:
+                self.idle.set()
+
+    def drain(self) -> None:
+        """Refuse new work from now on and tell the others."""
+        node = self.node
+        if node.gate.is_leaving:
+            return
+        node.gate.is_leaving = True
+        self.drained_at_s = time.monotonic()
+        self._tell(Standing.LEAVING)
+        loop = asyncio.get_running_loop()
+        self._queue_refusal = loop.call_later(
+            _QUEUE_GRACE_S,
+            node.gate.refuse_waiting,
+        )
+        _log.info('Node drains.', in_flight=len(self.in_progress))
+
+    def order_stop(self) -> None:
+        """End the process once it has left; a signal can't be undone."""
+        self.is_final = True
+        self.stop.set()
+
+    def undo_drain(self) -> bool:
+        """Take work again; `False` when it is too late."""
+        if self.is_final:
+            return False
+        self.stop.clear()
+        if self.finishing is not None:
+            self.finishing.cancel()
+        if self.node.gate.is_leaving:
+            self._take_work_again()
+        return True
+
+    def _take_work_again(self) -> None:
+        if self._queue_refusal is not None:
+            self._queue_refusal.cancel()
+        self.node.gate.is_leaving = False
+        self._tell(Standing.ALIVE)
+        _log.info('Node takes work again.')
+
+    def _tell(self, standing: Standing) -> None:
+        declare_self(self.node.gossip.state, standing, time.monotonic())
+
+
+async def leave(departure: Departure, server: Any) -> None:
+    """Wait for the order to stop, then leave without cutting a request.
+
+    What still runs at the bound that the settings give is cut, logged and
+    counted.
+    """
+    has_left = False
+    while not has_left:
+        await departure.stop.wait()
+        departure.drain()
+        has_left = await _leave_unless_undone(departure, server)
+
+
+async def _leave_unless_undone(departure: Departure, server: Any) -> bool:
+    settings = departure.node.settings
+    most_s = settings.get('leave_most_ms', _DEFAULT_MOST_MS) / _MS_PER_S
+    finishing = asyncio.create_task(_finish(departure, server))
+    departure.finishing = finishing
+    try:
+        await asyncio.wait((finishing,), timeout=most_s)
+    finally:
+        departure.finishing = None
+    if finishing.cancelled():
+        return False
+    departure.node.gossip.say_farewell()
+    if finishing.done():
+        return True
+    finishing.cancel()
+    _note_cut(departure)
+    server.force_exit = True
+    return True
+
+
+async def _finish(departure: Departure, server: Any) -> None:
+    node = departure.node
+    linger_ms = node.settings.get('leave_linger_ms', _DEFAULT_LINGER_MS)
+    until_s = departure.drained_at_s + linger_ms / _MS_PER_S
+    await asyncio.sleep(max(0, until_s - time.monotonic()))
+    await node.gate.wait_idle()
+    departure.is_final = True
+    for connection in tuple(server.server_state.connections):
+        connection.close_idle()
+    await asyncio.sleep(_ASK_GRACE_S)
+    for listener in server.servers:
+        listener.close()
+    await departure.idle.wait()
+
+
+def _note_cut(departure: Departure) -> None:
+    for exchange in departure.in_progress:
+        departure.node.metrics.cut.inc()
+        _log.error(
+            'Request cut.',
+            request_id=exchange.context.request_id,
+            service=exchange.context.service,
+            code=Code.OUTCOME_UNKNOWN.value,
+        )
--- a/carobmoor/node/_server.py
+++ b/carobmoor/node/_server.py
@@ -21,6 +21,7 @@
 
 _KEEP_ALIVE_S: Final = 75
 _LINGER_S: Final = 1
+_REQUEST_TIMEOUT: Final = 408
 
 
 class NodeServer(uvicorn.Server):
@@ -72,16 +73,30 @@
         """Answer what is no HTTP."""
         self._refuse(Code.BAD_REQUEST, 'no valid HTTP request')
 
-    def _refuse(self, code: Code, detail: str) -> None:
+    def close_idle(self) -> None:
+        """Close a connection on which no request was begun.
+
+        A request that is on its way here meets the refusal: it did not run,
+        since nothing is read any more. Status 408 is the one that callers
+        may get without having asked.
+        """
+        has_ended = self.cycle is None or self.cycle.response_complete
+        if has_ended and not self.head_bytes:
+            detail = 'the node stops'
+            self._refuse(Code.LEAVING, detail, _REQUEST_TIMEOUT)
+
+    def _refuse(self, code: Code, detail: str, status: int = 0) -> None:
         if self.is_refused or self.transport.is_closing():
             return
         self.is_refused = True
         server_name = ':'.join(str(part) for part in self.server or ())
         refusal = NotRun(code, 'read_request', server_name, detail)
-        self.transport.write(_plain_refusal(refusal))
+        status = status or http_status_of(refusal)
+        self.transport.write(_plain_refusal(refusal, status))
         # Closing with bytes unread would reset the connection and could
         # take the refusal with it.
-        self.transport.write_eof()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
         self.loop.call_later(_LINGER_S, self.transport.abort)
 
 
@@ -124,10 +139,10 @@
     return sum(len(name) + len(content) for name, content in headers)
 
 
-def _plain_refusal(refusal: NotRun) -> bytes:
+def _plain_refusal(refusal: NotRun, status: int) -> bytes:
     body = encode_failure(refusal, '')
     head = (
-        f'HTTP/1.1 {http_status_of(refusal)} Refused\r\n'
+        f'HTTP/1.1 {status} Refused\r\n'
         'content-type: application/json\r\n'
         f'{OUTCOME_HEADER}: not_run\r\n'
         f'content-length: {len(body)}\r\n'
--- a/carobmoor/node/_settings.py
+++ b/carobmoor/node/_settings.py
@@ -86,6 +86,8 @@
     log_level: NotRequired[LogLevel]
     # How long a leaving node keeps refusing before it stops.
     leave_linger_ms: NotRequired[Annotated[int, Field(ge=0, le=600_000)]]
+    # After so long a stopping node cuts what still runs.
+    leave_most_ms: NotRequired[Annotated[int, Field(ge=1, le=86_400_000)]]
     most_header_bytes: NotRequired[Annotated[int, Field(ge=1024, le=1_048_576)]]
 
 
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -58,6 +58,16 @@
             'Requests that wait for a slot.',
             registry=self.registry,
         )
+        self.cut = Counter(
+            'carobmoor_requests_cut',
+            'Requests cut at the bound of a stop.',
+            registry=self.registry,
+        )
+        self.decisions = Gauge(
+            'carobmoor_ticket_decisions',
+            'Requests whose decision is remembered.',
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             'carobmoor_configuration_version',
             'The version of the configuration in force.',
