A paused node runs nothing late; early refusals are decisions

Cause: a deadline travels as the time left, so a request that waited in the buffers of a stopped node looked fresh when it was read: after SIGSTOP, 300 ms deadlines, 1 s and SIGCONT the backend server started the late calls (test_pause_past_a_deadline_runs_nothing_late failed before the change). And refusals that arose before the table was asked, such as a stalled body or a node not ready, were not remembered; a not ready node said "not run" of tickets of its former life.

Ruled out: wall clock times in requests (clocks differ); refusing all that is read after a pause (a short pause would bounce everything).

Early refusals go through the table; a forwarding node's own refusal of a plain caller's ticket is "unknown", since only the owner can tell.

--- a/carobmoor/node/_body.py
+++ b/carobmoor/node/_body.py
@@ -9,6 +9,8 @@
 from carobmoor.transport import ProgressFloor
 
 _DISCARD_S: Final = 1
+_LOOK_S: Final = 0.005
+_DISCONNECT: Final = 'http.disconnect'
 _DISCARD_BYTES: Final = 8_388_608
 
 Receive = Callable[[], Awaitable[Any]]
@@ -58,6 +60,17 @@
         if more:
             self.rest = self._stream()
 
+    async def is_caller_gone(self) -> bool:
+        """Look whether the caller has closed, once the body is whole."""
+        if not self.is_whole:
+            return False
+        message: Any = {'type': ''}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LOOK_S):
+                while message['type'] != _DISCONNECT:
+                    message = await self._receive()
+        return message['type'] == _DISCONNECT
+
     async def discard(self) -> None:
         """Read on without keeping anything, within a bound.
 
@@ -84,7 +97,7 @@
 
     async def _next(self) -> tuple[bytes, bool]:
         message = await self._receive_in_time()
-        if message['type'] == 'http.disconnect':
+        if message['type'] == _DISCONNECT:
             raise self._faulty(Code.CALLER_GONE)
         chunk = message.get('body', b'')
         self.is_whole = not message.get('more_body', False)
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -22,6 +22,7 @@
 from carobmoor.node._pools import make_pools
 from carobmoor.node._server import make_server
 from carobmoor.node._settings import Settings
+from carobmoor.node._stall import watch_stalls
 from carobmoor.node._state import NodeState
 from carobmoor.platform import Platform
 from carobmoor.routing import RoutingState
@@ -66,6 +67,7 @@
         asyncio.create_task(node.gossip.run()),
         asyncio.create_task(node.gate.watch()),
         asyncio.create_task(node.quarantine.spread.run()),
+        asyncio.create_task(watch_stalls(node.stalls)),
     ]
     if node.pools.certificate is not None:
         watched = watch_certificate(node.pools.certificate)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -19,7 +19,7 @@
 from carobmoor.node._departure import Departure
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._guard import note_lost, suspect_of
-from carobmoor.node._once import grant_headers, run_once
+from carobmoor.node._once import grant_headers, refuse_once, run_once
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
@@ -51,11 +51,15 @@
         context = read.ok_value
         declared = await _declared(node, context)
         if isinstance(declared, Err):
-            await send_failure(send, declared.err_value, context.request_id)
+            refusal = refuse_once(node, context, declared.err_value)
+            await send_failure(send, refusal, context.request_id)
             return
         exchange = Exchange(context, declared.ok_value, scope, receive, send)
+        exchange.count_from(node.stalls.earliest_arrival_s(exchange.started_s))
         with departure.tracked(exchange):
             failure = await _serve(node, exchange)
+            if isinstance(failure, NotRun) and not exchange.is_decided:
+                failure = refuse_once(node, context, failure)
             account(node, exchange, failure)
             if failure is not None:
                 await _refuse(node, exchange, failure)
@@ -105,6 +109,9 @@
 async def _own(node: NodeState, exchange: Exchange) -> Failure | None:
     """Run a request on the backend server beside this node."""
     context = exchange.context
+    is_settling = node.stalls.is_settling(time.monotonic())
+    if is_settling and await exchange.body.is_caller_gone():
+        return NotRun(Code.CALLER_GONE, 'admission', node.here)
     arrival = Arrival(
         context.request_id,
         context.rank or node.default_rank,
@@ -203,6 +210,7 @@
         repeatable=context.is_repeatable,
         ticket=context.ticket,
     )
+    exchange.is_decided = True
     sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call)
     if isinstance(sent, Err):
         return sent.err_value
--- a/carobmoor/node/_exchange.py
+++ b/carobmoor/node/_exchange.py
@@ -39,6 +39,8 @@
             _DEFAULT_DEADLINE_MS,
         )
         self.deadline_s = self.started_s + deadline_ms / _MS_PER_S
+        # Whether the owner's table has judged it, here or elsewhere.
+        self.is_decided = False
         self.notes: list[Note] = []
         self.queued_s = float(0)
         self.served_s = float(0)
@@ -54,6 +56,10 @@
             is_absent=not context.body_bytes,
         )
 
+    def count_from(self, arrived_at_s: float) -> None:
+        """Let the deadline count from an earlier arrival."""
+        self.deadline_s -= max(0, self.started_s - arrived_at_s)
+
     def note(self, part: str, event: str, subject: str = '') -> None:
         """Note a step for the record of this request."""
         after_s = time.monotonic() - self.started_s
--- a/carobmoor/node/_once.py
+++ b/carobmoor/node/_once.py
@@ -13,7 +13,7 @@
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._relay import Send, end_to_end
 from carobmoor.node._state import NodeState
-from carobmoor.outcomes import Failure, Unknown
+from carobmoor.outcomes import Failure, NotRun, Unknown
 from carobmoor.tickets import (
     GRANT_HEADER,
     Decision,
@@ -81,6 +81,7 @@
     run: Run,
 ) -> Failure | None:
     """Run a request here, unless it is a copy of one decided before."""
+    exchange.is_decided = True
     context = exchange.context
     if context.is_repeatable and context.ticket is None:
         return await run(node, exchange)
@@ -96,6 +97,32 @@
     return await _tell(exchange, verdict)
 
 
+def refuse_once(
+    node: NodeState,
+    context: RequestContext,
+    refusal: NotRun,
+) -> Failure:
+    """Make a refusal that arose before the table was asked a decision.
+
+    Another copy may have run already, or may come later; only the owner's
+    table can tell and prevent it.
+    """
+    ticket = context.ticket
+    if ticket is None:
+        return refusal
+    if ticket.owner != node.here:
+        return Unknown(refusal.step, refusal.peer, refusal.code.value)
+    presented = Presented(context.request_id, context.service, '')
+    verdict = admit(node.tickets, ticket, presented, time.monotonic())
+    if isinstance(verdict, Start):
+        settle(node.tickets, verdict.decision, refusal)
+        return refusal
+    outcome = verdict.outcome if isinstance(verdict, Told) else None
+    if isinstance(outcome, NotRun | Unknown):
+        return outcome
+    return Unknown(_STEP, node.here, 'another copy was decided')
+
+
 def grant_headers(node: NodeState, context: RequestContext) -> HeaderList:
     """Hand out a grant to a sender whose last one is growing old."""
     ticket = context.ticket
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -20,6 +20,7 @@
 from carobmoor.node._follow import make_follower
 from carobmoor.node._pools import Pools
 from carobmoor.node._settings import Settings, operators_of
+from carobmoor.node._stall import StallWatch
 from carobmoor.platform import Platform
 from carobmoor.quarantine import (
     MARKS_TARGET,
@@ -79,6 +80,7 @@
             ConfigurationState(self._put_in_force, self.service),
             gossip,
         )
+        self.stalls = StallWatch(time.monotonic())
         self.tickets = TicketTable(self.here, TicketPolicy(), time.monotonic())
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
--- a/carobmoor/tickets/_decide.py
+++ b/carobmoor/tickets/_decide.py
@@ -182,9 +182,13 @@
 
 
 def _is_same(known: Presented, presented: Presented) -> bool:
-    digests = {known.body_digest, presented.body_digest} - {''}
-    alike = known._replace(body_digest='') == presented._replace(body_digest='')
-    return alike and len(digests) <= 1
+    return known.service == presented.service and all(
+        '' in pair or pair[0] == pair[1]
+        for pair in (
+            (known.fingerprint, presented.fingerprint),
+            (known.body_digest, presented.body_digest),
+        )
+    )
 
 
 def _unknown(table: TicketTable, detail: str) -> Told:
--- a/carobmoor/tickets/_messages.py
+++ b/carobmoor/tickets/_messages.py
@@ -58,7 +58,7 @@
 
     request_id: str
     service: str
-    # The method, the target and the caller.
+    # The method, the target and the caller; empty when not at hand.
     fingerprint: str
     # Empty when the body was not at hand as a whole.
     body_digest: str = ''
--- /dev/null
+++ b/tests/test_pause.py
@@ -0,0 +1,41 @@
+"""A node that stood still runs nothing whose time has passed."""
+
+import asyncio
+import signal
+
+from carobmoor import Call
+from stand_ins.deployment import Place
+from tests.fixtures import asynchronous, client_of, running
+
+BOOKINGS = Place('bookings', 'lagos', 'lagos-a', service_ms=20)
+DEPOSIT = Call('bookings', 'POST', '/x', b'deposit', timeout_ms=10_000)
+
+
+@asynchronous
+async def test_pause_past_a_deadline_runs_nothing_late():
+    """What waited in a paused node's buffers is refused when it wakes."""
+    async with (
+        running(BOOKINGS) as deployment,
+        client_of(deployment) as client,
+    ):
+        pair = deployment.pairs[0]
+        assert (await client.call(DEPOSIT)).is_ok()
+        before = await starts(deployment, pair)
+        node = deployment.processes[f'node {pair.name}']
+        node.send_signal(signal.SIGSTOP)
+        late = DEPOSIT._replace(timeout_ms=300)
+        answers = await asyncio.gather(*(client.call(late) for _ in range(8)))
+        await asyncio.sleep(1)
+        node.send_signal(signal.SIGCONT)
+        await deployment.until_status(pair, 'in_flight', 0)
+        fresh = await client.call(DEPOSIT._replace(timeout_ms=60_000))
+        after = await starts(deployment, pair)
+    assert all(answer.is_err() for answer in answers)
+    assert fresh.is_ok(), fresh
+    assert len(after) == len(before) + 1
+
+
+async def starts(deployment, pair):
+    """Tell how often a backend server started each request."""
+    told = await deployment.ask(pair.backend_server, 'GET', '/_backend/starts')
+    return told['starts']
