--- a/carobmoor/client/_dispatch.py
+++ b/carobmoor/client/_dispatch.py
@@ -277,7 +277,13 @@
         content = header_of(answer.head.headers, REPORT_HEADER)
         report = decode_report(content)
         known = self.routing.find(call.service, answer.address)
-        if report is None or known is None:
+        if report is None:
+            return
+        if report.is_leaving:
+            # Whoever closes an idle connection first can't lose a request
+            # that the other side is just writing.
+            self._pool.forget(answer.address)
+        if known is None:
             return
         self.routing.counts['reports'] += 1
         self.routing.counts['report_bytes'] += len(content)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -19,9 +19,10 @@
 from carobmoor.node._account import account
 from carobmoor.node._body import BodyFault, Receive
 from carobmoor.node._context import RequestContext, read_context
+from carobmoor.node._departure import Departure
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._guard import note_lost, suspect_of
-from carobmoor.node._once import grant_headers, run_once
+from carobmoor.node._once import grant_headers, refuse_once, run_once
 from carobmoor.node._placing import is_for_another, note_end, runs_here
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
 from carobmoor.node._state import NodeState
@@ -45,7 +46,7 @@
 Application = Callable[[Any, Receive, Send], Awaitable[None]]
 
 
-def make_data_plane(node: NodeState) -> Application:
+def make_data_plane(node: NodeState, departure: Departure) -> Application:
     """Make the ASGI application that serves callers' requests."""
 
     async def serve(scope: Any, receive: Receive, send: Send) -> None:
@@ -56,20 +57,34 @@
         context = read.ok_value
         declared = await _declared(node, context)
         if isinstance(declared, Err):
-            await send_failure(send, declared.err_value, context.request_id)
+            refusal = refuse_once(node, context, declared.err_value)
+            await send_failure(send, refusal, context.request_id)
             return
         exchange = Exchange(context, declared.ok_value, scope, receive, send)
-        failure = await _serve(node, exchange)
-        account(node, exchange, failure)
-        if failure is not None:
-            if not exchange.body.is_whole:
-                await exchange.body.discard()
-            extra = _own_headers(node, context)
-            await send_failure(send, failure, context.request_id, extra)
+        exchange.count_from(node.stalls.earliest_arrival_s(exchange.started_s))
+        with departure.tracked(exchange):
+            failure = await _serve(node, exchange)
+            if isinstance(failure, NotRun) and not exchange.is_decided:
+                failure = refuse_once(node, context, failure)
+            account(node, exchange, failure)
+            if failure is not None:
+                await _refuse(node, exchange, failure)
 
     return serve
 
 
+async def _refuse(
+    node: NodeState,
+    exchange: Exchange,
+    failure: Failure,
+) -> None:
+    context = exchange.context
+    if not exchange.body.is_whole:
+        await exchange.body.discard()
+    extra = _own_headers(node, context)
+    await send_failure(exchange.send, failure, context.request_id, extra)
+
+
 async def _serve(node: NodeState, exchange: Exchange) -> Failure | None:
     if exchange.context.body_bytes > exchange.most_body_bytes:
         return NotRun(Code.BODY_TOO_LARGE, 'read_request', node.here)
@@ -87,6 +102,9 @@
 async def _own(node: NodeState, exchange: Exchange) -> Failure | None:
     """Run a request on the backend server beside this node."""
     context = exchange.context
+    is_settling = node.stalls.is_settling(time.monotonic())
+    if is_settling and await exchange.body.is_caller_gone():
+        return NotRun(Code.CALLER_GONE, 'admission', node.here)
     arrival = Arrival(
         context.request_id,
         context.rank or node.default_rank,
@@ -216,12 +234,16 @@
         attempt=context.attempt,
         retries_left=context.retries_left,
     )
+    exchange.is_decided = True
     here = (parse_address(node.here),)
     sent: Result[Answer, Failure] = await node.dispatcher.dispatch(call, here)
     if isinstance(sent, Err):
         return sent.err_value
     exchange.note('forwarding', 'answered', str(sent.ok_value.address))
-    extra = ((REQUEST_ID_HEADER, context.request_id.encode()),)
+    extra = (
+        (REQUEST_ID_HEADER, context.request_id.encode()),
+        *_closing_headers(node),
+    )
     await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
     return None
 
@@ -252,11 +274,14 @@
 def _own_headers(node: NodeState, context: RequestContext) -> HeaderList:
     headers = [(REPORT_HEADER, encode_report(node.report()))]
     headers.extend(grant_headers(node, context))
-    if node.gate.is_leaving:
-        headers.append((b'connection', b'close'))
+    headers.extend(_closing_headers(node))
     return headers
 
 
+def _closing_headers(node: NodeState) -> HeaderList:
+    return ((b'connection', b'close'),) if node.gate.is_leaving else ()
+
+
 def _backend_headers(exchange: Exchange) -> HeaderList:
     context = exchange.context
     left_ms = max(1, int(exchange.left_s * _MS_PER_S))
