--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,9 @@
 import fire
 
 from bench.admission import measure_admission
+from bench.configuration import measure_configuration
 from bench.hop import measure_hop
+from bench.membership import measure_membership
 from bench.retries import measure_retries
 from bench.routing import measure_routing
 
@@ -14,6 +16,8 @@
     {
         'admission': measure_admission,
         'hop': measure_hop,
+        'membership': measure_membership,
+        'configuration': measure_configuration,
         'retries': measure_retries,
         'routing': measure_routing,
     },
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -2,7 +2,7 @@
 
 from typing import Final, TypedDict
 
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Content, Request, Response, Router
 
 from carobmoor.burn import take_snapshots
 from carobmoor.client import policy_of
@@ -47,7 +47,7 @@
     departure: Departure,
 ) -> Application:
     """Make the application that serves the control paths."""
-    app = Application(show_error_details=False)
+    app = Application(router=Router(), show_error_details=False)
     _route_reads(app, node)
     route_configuration(app, node)
     route_peers(app, node)
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+from collections.abc import Sequence
 from typing import Any, Final
 
 from carobmoor.client import Dispatcher, keep_probing, learn_service
@@ -41,7 +42,7 @@
 async def run_node(settings: Settings) -> None:
     """Run a node until it is told to stop and has left gracefully."""
     configure_logs(settings.get('log_level', 'info'))
-    node = _assemble(settings)
+    node = assemble(settings)
     departure = Departure(node)
     server = make_server(
         _make_application(node, departure),
@@ -61,12 +62,7 @@
 
 async def _serve(node: NodeState, server: Any, departure: Departure) -> None:
     background = [
-        asyncio.create_task(node.configuration.run()),
-        asyncio.create_task(_join(node)),
-        asyncio.create_task(
-            keep_seeds(node.gossip, node.platform, random.Random()),
-        ),
-        asyncio.create_task(node.gossip.run()),
+        *start_control(node),
         asyncio.create_task(node.gate.watch()),
         asyncio.create_task(node.quarantine.spread.run()),
         asyncio.create_task(
@@ -91,13 +87,26 @@
     node.pools.close()
 
 
+def start_control(node: NodeState) -> Sequence[asyncio.Task[None]]:
+    """Start the tasks by which a node knows of the others."""
+    rng = random.Random()
+    duties = (
+        node.configuration.run(),
+        _join(node),
+        keep_seeds(node.gossip, node.platform, rng),
+        node.gossip.run(),
+    )
+    return [asyncio.create_task(duty) for duty in duties]
+
+
 async def _join(node: NodeState) -> None:
     """Meet other nodes through the settings and the table service."""
     peers = [parse_address(peer) for peer in node.settings.get('peers', ())]
     await join(node.gossip, node.platform, peers, random.Random())
 
 
-def _assemble(settings: Settings) -> NodeState:
+def assemble(settings: Settings) -> NodeState:
+    """Make the parts of a node; nothing runs yet."""
     pools = make_pools(settings)
     place = settings['place']
     platform = Platform(
