--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,10 +6,17 @@
 import fire
 
 from bench.admission import measure_admission
+from bench.floods import measure_floods
 from bench.hop import measure_hop
+from bench.quarantine import measure_quarantine
 
 _BENCHES = MappingProxyType(
-    {'admission': measure_admission, 'hop': measure_hop}
+    {
+        'admission': measure_admission,
+        'floods': measure_floods,
+        'hop': measure_hop,
+        'quarantine': measure_quarantine,
+    }
 )
 
 
