--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -8,6 +8,7 @@
 from carobmoor.burn import take_snapshots
 from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._configure import route_configuration
+from carobmoor.node._gauges import set_gauges
 from carobmoor.node._peers import route_peers
 from carobmoor.node._quarantine import route_quarantine
 from carobmoor.node._replies import (
@@ -35,6 +36,7 @@
     is_leaving: bool
     configuration_version: int
     slots: int
+    concurrency_limit: int
     in_flight: int
     queued: int
     members: int
@@ -71,8 +73,7 @@
         return as_json(OK, _status_of(node))
 
     async def metrics() -> Response:
-        node.metrics.in_flight.set(node.gate.state.in_flight_total)
-        node.metrics.queued.set(node.gate.state.queued_total)
+        set_gauges(node)
         content = Content(b'text/plain; version=0.0.4', node.metrics.render())
         return Response(OK, content=content)
 
@@ -109,6 +110,7 @@
         'is_leaving': node.gate.is_leaving,
         'configuration_version': node.configuration.version,
         'slots': admission.policy.slots,
+        'concurrency_limit': admission.limit.limit,
         'in_flight': admission.in_flight_total,
         'queued': admission.queued_total,
         'members': len(node.gossip.known()),
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -101,7 +101,7 @@
         """Tell the load of the backend server as it is now."""
         admission = self.gate.state
         return LoadReport(
-            max(1, admission.policy.slots),
+            max(1, admission.limit.limit),
             admission.in_flight_total,
             admission.queued_total,
             int(admission.service_time_s * _US_PER_S),
