Take the number of retries from the configuration

Cause: `most_retries` stood in the document and in the policy, but every call started with the default of two left, so 0 did not end retries and 5 did not allow them. And a node that chose another region for a plain caller's request of its own service took it from the paid link's budget twice; with the budget nearly spent it then refused what it could have run itself.

Change: a call that names no count gets the policy's; one that does is bounded by it. A node keeps plain callers' requests of its service in its region.

Ruled out: charging the first choice nothing: the second could still refuse.

Shown failing: test_configured_retries fails in three of its four rows with the old default, since it bounded nothing but two.

--- a/bench/_chain.py
+++ b/bench/_chain.py
@@ -98,7 +98,7 @@
         while self._may_go_on(layer, call, sent):
             call = call._replace(
                 attempt=call.attempt + 1,
-                retries_left=call.retries_left - 1,
+                retries_left=(call.retries_left or 0) - 1,
             )
             sent = self.send(layer, call)
         if sent.ok_value.head.status < 500:
@@ -118,7 +118,8 @@
         return Ok(FakeAnswer(500 if failed else 200))  # type: ignore[arg-type]
 
     def _may_go_on(self, layer: int, call: Call, sent: Sent) -> bool:
-        if next_step(call, sent) is Next.DONE or not call.retries_left:
+        left = call.retries_left or 0
+        if next_step(call, sent) is Next.DONE or not left:
             return False
         if not self.has_budgets:
             return True
--- a/carobmoor/client/_context.py
+++ b/carobmoor/client/_context.py
@@ -11,7 +11,7 @@
     RETRIES_LEFT_HEADER,
 )
 from carobmoor.client._messages import Call
-from carobmoor.retries import DEFAULT_RETRY_POLICY, FIRST_ATTEMPT
+from carobmoor.retries import FIRST_ATTEMPT
 from carobmoor.transport import HeaderList, header_of
 
 _MS_PER_S: Final = 1000
@@ -23,7 +23,8 @@
     rank: str
     depth: int
     attempt: int
-    retries_left: int
+    # `None` at the start of a chain.
+    retries_left: int | None
     # On the monotonic clock of this process; `None` when the request names
     # no deadline.
     deadline_s: float | None
@@ -45,7 +46,7 @@
             depth=self.depth + 1,
             timeout_ms=timeout_ms,
             attempt=self.attempt,
-            retries_left=min(call.retries_left, self.retries_left),
+            retries_left=_least(call.retries_left, self.retries_left),
         )
 
 
@@ -63,6 +64,7 @@
         called = await client.call(context.child(call))
     """
     deadline_ms = _number(headers, DEADLINE_HEADER, -1)
+    retries_left = _number(headers, RETRIES_LEFT_HEADER, -1)
     deadline_s = None
     if deadline_ms >= 0:
         deadline_s = time.monotonic() + deadline_ms / _MS_PER_S
@@ -70,15 +72,16 @@
         header_of(headers, RANK_HEADER),
         _number(headers, DEPTH_HEADER, 0),
         max(FIRST_ATTEMPT, _number(headers, ATTEMPT_HEADER, FIRST_ATTEMPT)),
-        _number(
-            headers,
-            RETRIES_LEFT_HEADER,
-            DEFAULT_RETRY_POLICY.most_retries,
-        ),
+        retries_left if retries_left >= 0 else None,
         deadline_s,
     )
 
 
+def _least(one: int | None, other: int | None) -> int | None:
+    known = [count for count in (one, other) if count is not None]
+    return min(known, default=None)
+
+
 def _number(headers: HeaderList, name: bytes, default: int) -> int:
     text = header_of(headers, name)
     return int(text) if text.isdigit() else default
--- a/carobmoor/client/_dispatch.py
+++ b/carobmoor/client/_dispatch.py
@@ -66,12 +66,19 @@
 class Pursuit:
     """One call while it is pursued: who was tried, and what is left."""
 
-    def __init__(self, call: Call, excluded: Sequence[Address]) -> None:
+    def __init__(
+        self,
+        call: Call,
+        most_retries: int,
+        excluded: Sequence[Address],
+    ) -> None:
         """Start before the first attempt."""
-        self.call = call
+        self.retries_left = most_retries
+        if call.retries_left is not None:
+            self.retries_left = min(call.retries_left, most_retries)
+        self.call = call._replace(retries_left=self.retries_left)
         self.deadline_s = time.monotonic() + call.timeout_ms / _MS_PER_S
         self.tried = list(excluded)
-        self.rank = call.rank
 
     @property
     def left_s(self) -> float:
@@ -80,9 +87,10 @@
 
     def begin_next(self) -> None:
         """Count one more attempt of the chain."""
+        self.retries_left -= 1
         self.call = self.call._replace(
             attempt=self.call.attempt + 1,
-            retries_left=self.call.retries_left - 1,
+            retries_left=self.retries_left,
         )
 
 
@@ -113,7 +121,7 @@
         retry budget of its service.
         """
         call = call._replace(request_id=call.request_id or uuid.uuid4().hex)
-        pursuit = Pursuit(call, excluded)
+        pursuit = Pursuit(call, self.retries.policy.most_retries, excluded)
         call_offered(self.retries, call.service, call.attempt)
         sent = await self._attempt(pursuit)
         while self._may_go_on(pursuit, sent):
@@ -233,7 +241,7 @@
             return False
         if step is Next.BOUNCE:
             return True
-        if not call.retries_left:
+        if not pursuit.retries_left:
             return False
         if not take_retry(self.retries, call.service):
             return False
@@ -244,7 +252,7 @@
         call = pursuit.call
         if not call.repeatable or call.more_body is not None:
             return None
-        if not call.retries_left:
+        if not pursuit.retries_left:
             return None
         delay_s = hedge_delay_s(self.retries, call.service, call.rank)
         if delay_s is None or delay_s >= pursuit.left_s:
--- a/carobmoor/client/_messages.py
+++ b/carobmoor/client/_messages.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
-from carobmoor.retries import DEFAULT_RETRY_POLICY, FIRST_ATTEMPT
+from carobmoor.retries import FIRST_ATTEMPT
 from carobmoor.tickets import Ticket
 from carobmoor.transport import HeaderList
 
@@ -30,8 +30,9 @@
     ticket: Ticket | None = None
     # Which attempt of the whole chain of calls this is, from 1.
     attempt: int = FIRST_ATTEMPT
-    # How many further attempts the chain may still make for this call.
-    retries_left: int = DEFAULT_RETRY_POLICY.most_retries
+    # How many further attempts the chain may still make for this call; as
+    # many as the configuration allows when `None`.
+    retries_left: int | None = None
 
 
 class CallAnswer(NamedTuple):
--- a/carobmoor/client/_request.py
+++ b/carobmoor/client/_request.py
@@ -118,7 +118,7 @@
         (OWNER_HEADER, str(owner).encode()),
         (DEADLINE_HEADER, b'%d' % left_ms),
         (ATTEMPT_HEADER, b'%d' % call.attempt),
-        (RETRIES_LEFT_HEADER, b'%d' % call.retries_left),
+        (RETRIES_LEFT_HEADER, b'%d' % (call.retries_left or 0)),
     ]
     if call.rank:
         headers.append((RANK_HEADER, call.rank.encode()))
--- a/carobmoor/client/tests/test_dispatch.py
+++ b/carobmoor/client/tests/test_dispatch.py
@@ -100,6 +100,15 @@
     assert len({call.request_id for call, _ in dispatcher.sent}) == 1
 
 
+@params((0, 1), (1, 2), (2, 3), (5, 6))
+def test_configured_retries(most_retries, attempts):
+    """The configuration bounds the attempts of a chain."""
+    dispatcher = ScriptedDispatcher((failed(),))
+    dispatcher.retries.replace_policy(RetryPolicy(most_retries=most_retries))
+    asyncio.run(dispatcher.dispatch(BROWSE))
+    assert len(dispatcher.sent) == attempts
+
+
 @asynchronous
 async def test_budget_bounds_retries():
     """When everything fails only the reserve is spent."""
--- a/carobmoor/node/_context.py
+++ b/carobmoor/node/_context.py
@@ -18,7 +18,7 @@
     SERVICE_HEADER,
 )
 from carobmoor.outcomes import Code, NotRun
-from carobmoor.retries import DEFAULT_RETRY_POLICY, FIRST_ATTEMPT
+from carobmoor.retries import FIRST_ATTEMPT
 from carobmoor.tickets import (
     REPEATABLE_HEADER,
     TICKET_HEADER,
@@ -54,9 +54,10 @@
     # Whether running it twice does no harm.
     is_repeatable: bool
     ticket: Ticket | None
-    # Which attempt of its chain the request is, and how many are left.
+    # Which attempt of its chain the request is, and how many are left;
+    # `None` when the request doesn't say.
     attempt: int
-    retries_left: int
+    retries_left: int | None
     # Whether the caller can send it again under the same name.
     is_named: bool
 
@@ -117,9 +118,9 @@
     return method in _SAFE_METHODS or headers.get(REPEATABLE_HEADER) in _YES
 
 
-def _retries_left(headers: Mapping[bytes, bytes]) -> int:
+def _retries_left(headers: Mapping[bytes, bytes]) -> int | None:
     if RETRIES_LEFT_HEADER not in headers:
-        return DEFAULT_RETRY_POLICY.most_retries
+        return None
     return _number(headers, RETRIES_LEFT_HEADER, _MOST_ATTEMPTS)
 
 
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -291,11 +291,14 @@
         (b'x-carobmoor-depth', b'%d' % context.depth),
         (b'x-carobmoor-deadline-ms', b'%d' % left_ms),
     )
-    retries = (
-        (ATTEMPT_HEADER, b'%d' % context.attempt),
-        (RETRIES_LEFT_HEADER, b'%d' % context.retries_left),
-    )
-    return (*end_to_end(exchange.headers), *chain, *retries)
+    return (*end_to_end(exchange.headers), *chain, *_retry_headers(context))
+
+
+def _retry_headers(context: RequestContext) -> HeaderList:
+    attempt = (ATTEMPT_HEADER, b'%d' % context.attempt)
+    if context.retries_left is None:
+        return (attempt,)
+    return (attempt, (RETRIES_LEFT_HEADER, b'%d' % context.retries_left))
 
 
 def _forwarded_headers(exchange: Exchange) -> HeaderList:
--- a/carobmoor/node/_placing.py
+++ b/carobmoor/node/_placing.py
@@ -58,7 +58,10 @@
 
 
 def _chooses_itself(node: NodeState, context: RequestContext) -> bool:
-    """Choose by this node's own load as it is, and by others' as reported."""
+    """Choose by this node's own load as it is, and by others' as reported.
+
+    Another region is no choice while this node can run the request.
+    """
     routing = node.dispatcher.routing
     now_s = time.monotonic()
     here = parse_address(node.here)
@@ -67,10 +70,9 @@
         return not node.gate.is_leaving
     note_report(routing, node.service, known, node.report(), now_s)
     query = ChoiceQuery(
-        (),
-        context.rank,
-        max(0, context.body_bytes),
-        context.is_repeatable,
+        rank=context.rank,
+        is_repeatable=context.is_repeatable,
+        may_leave_region=False,
     )
     chosen = choose(routing, node.service, query, now_s, _rng)
     return chosen is known
--- a/carobmoor/routing/_choose.py
+++ b/carobmoor/routing/_choose.py
@@ -120,6 +120,8 @@
         candidates: Candidates,
         here: CandidateState | None,
     ) -> CandidateState | None:
+        if not self._query.may_leave_region:
+            return None
         far = [known for known in candidates if known.distance == FAR]
         chosen = self._better(far)
         if chosen is None:
--- a/carobmoor/routing/_messages.py
+++ b/carobmoor/routing/_messages.py
@@ -72,6 +72,8 @@
     request_bytes: int = 0
     # Trials of a candidate that failed before go to repeatable calls.
     is_repeatable: bool = False
+    # False keeps the call in the own region, whatever its budget.
+    may_leave_region: bool = True
 
 
 _decoder: Final = msgspec.json.Decoder(LoadReport)
--- a/carobmoor/routing/tests/test_choose.py
+++ b/carobmoor/routing/tests/test_choose.py
@@ -131,6 +131,13 @@
     assert browse.address.port in {0, 1}
 
 
+def test_call_may_be_kept_in_its_region():
+    """However large the budget, and whether somebody is near or not."""
+    query = ChoiceQuery(may_leave_region=False)
+    assert choose(state_of('ff'), SERVICE, query, 10, seeded()) is None
+    assert choose(state_of('rff'), SERVICE, query, 10, seeded())
+
+
 def test_suspects_are_avoided_while_others_exist():
     """A suspect is chosen only when nobody else is left."""
     state = state_of('hr')
