Give up a lower limit early, and bench floods and crashes on processes

Cause: with a backend server that is slow by itself, each trial of a lower limit cost a third of its rate for 128 answers, and trials came every 8 measurements.

Ruled out: a smaller step (9 to 7 slots can't be told from chance in 128 answers of exponential service times).

Change: a trial that has lost a fifth of the rate after 48 answers ends, and failed trials are 32 to 256 measurements apart. The benches `floods` and `quarantine` drive separate processes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,17 +7,21 @@
 
 from bench.admission import measure_admission
 from bench.configuration import measure_configuration
+from bench.floods import measure_floods
 from bench.hop import measure_hop
 from bench.membership import measure_membership
+from bench.quarantine import measure_quarantine
 from bench.retries import measure_retries
 from bench.routing import measure_routing
 
 _BENCHES = MappingProxyType(
     {
         'admission': measure_admission,
+        'floods': measure_floods,
         'hop': measure_hop,
         'membership': measure_membership,
         'configuration': measure_configuration,
+        'quarantine': measure_quarantine,
         'retries': measure_retries,
         'routing': measure_routing,
     },
--- /dev/null
+++ b/bench/floods.py
@@ -0,0 +1,179 @@
+"""Floods by rank against one node and its backend server, as processes.
+
+The backend server has few slots, so that one process of callers can send five
+times what it takes.
+"""
+
+import asyncio
+import sys
+import time
+from collections import Counter
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from carobmoor import Call, Client
+from carobmoor.admission import AdmissionPolicy, RankPolicy
+from carobmoor.configuration import admission_policy_of
+from stand_ins.deployment import Deployment, Place, read_example
+
+_SERVICE_MS: Final = 25
+_MS_PER_S: Final = 1000
+_FLOOD: Final = 5
+_SLOTS: Final = 4
+_LONGEST_DEADLINE_MS: Final = 4000
+_PER_CENT: Final = 100
+_CALLERS: Final = 8
+_DEPLOYMENTS: Final = (
+    ('adeyemi', 'bookings', 'lagos', (0.1, 0.25, 0.15, 0.1)),
+    ('bawaba', 'directory', 'casablanca', (0.25, 0.2, 0.15)),
+)
+
+
+class Load(NamedTuple):
+    """Calls of one rank that come evenly."""
+
+    rank: RankPolicy
+    rate_per_s: float
+
+
+class Tally:
+    """What became of the calls of each rank."""
+
+    def __init__(self) -> None:
+        """Start from nothing."""
+        self.sent: Counter[str] = Counter()
+        self.in_target: Counter[str] = Counter()
+        self.answered: Counter[str] = Counter()
+
+
+def measure_floods(seconds: float = 8) -> None:
+    """Print what each rank keeps in a flood, on separate processes.
+
+    Args:
+        seconds: The length of each flood.
+    """
+    asyncio.run(_measure(seconds))
+
+
+async def _measure(seconds: float) -> None:
+    for deployment, service, region, demands in _DEPLOYMENTS:
+        document = read_example(deployment)
+        document['services'][service]['slots'] = _SLOTS
+        policy = admission_policy_of(document, service)
+        place = Place(service, region, f'{region}-a', policy.slots)
+        heads = ''.join(f'{rank.name:>16}' for rank in policy.ranks)
+        _say(f'{deployment}: {policy.slots} slots, parts in per cent')
+        _say(f'{"load":<24}{heads}  useful')
+        async with Deployment() as processes:
+            await processes.start((place,), document)
+            pair = processes.pairs[0]
+            for flooding in (None, -1, 0):
+                async with Client((str(pair.node),), 'bench') as client:
+                    loads = _loads(policy, demands, flooding)
+                    started_s = time.monotonic()
+                    tally = await _drive(client, service, loads, seconds)
+                    took_s = time.monotonic() - started_s
+                name = 'no flood'
+                if flooding is not None:
+                    name = f'{policy.ranks[flooding].name} floods'
+                _say(_line(name, policy, tally, took_s))
+
+
+def _loads(
+    policy: AdmissionPolicy,
+    demands: Sequence[float],
+    flooding: int | None,
+) -> Sequence[Load]:
+    capacity_per_s = policy.slots * _MS_PER_S / _SERVICE_MS
+    parts = list(demands)
+    if flooding is not None:
+        parts[flooding] += _FLOOD
+    return [
+        Load(rank, part * capacity_per_s)
+        for rank, part in zip(policy.ranks, parts, strict=True)
+    ]
+
+
+async def _drive(
+    client: Client,
+    service: str,
+    loads: Sequence[Load],
+    seconds: float,
+) -> Tally:
+    tally = Tally()
+    await asyncio.gather(
+        *(_send(client, service, load, seconds, tally) for load in loads),
+    )
+    return tally
+
+
+async def _send(
+    client: Client,
+    service: str,
+    load: Load,
+    seconds: float,
+    tally: Tally,
+) -> None:
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
+    calls: set[asyncio.Task[None]] = set()
+    for number in range(int(load.rate_per_s * seconds)):
+        due_s = begun_s + number / load.rate_per_s
+        await asyncio.sleep(due_s - loop.time())
+        caller = f'{load.rank.name}-{number % _CALLERS}'
+        task = loop.create_task(
+            _call(client, service, load.rank, caller, tally),
+        )
+        calls.add(task)
+        task.add_done_callback(calls.discard)
+    await asyncio.gather(*calls)
+
+
+async def _call(
+    client: Client,
+    service: str,
+    rank: RankPolicy,
+    caller: str,
+    tally: Tally,
+) -> None:
+    target_ms = rank.target_latency_ms
+    call = Call(
+        service,
+        'POST',
+        '/bench',
+        b'x',
+        headers=((b'x-service-ms', b'%d' % _SERVICE_MS),),
+        rank=rank.name,
+        timeout_ms=min(_LONGEST_DEADLINE_MS, 2 * target_ms),
+        caller=caller,
+    )
+    started_s = time.monotonic()
+    tally.sent[rank.name] += 1
+    called = await client.call(call)
+    took_ms = (time.monotonic() - started_s) * _MS_PER_S
+    if called.is_ok():
+        tally.answered[rank.name] += 1
+        tally.in_target[rank.name] += int(took_ms <= target_ms)
+
+
+def _line(
+    name: str,
+    policy: AdmissionPolicy,
+    tally: Tally,
+    took_s: float,
+) -> str:
+    whole = policy.slots * _MS_PER_S / _SERVICE_MS * took_s
+    cells = []
+    for rank in policy.ranks:
+        sent = tally.sent[rank.name]
+        due = min(sent, rank.guaranteed_share * whole)
+        in_target = _PER_CENT * tally.in_target[rank.name] / sent
+        kept = _PER_CENT * tally.answered[rank.name] / due
+        cells.append(f'{in_target:>8.1f}/{kept:>7.0f}')
+    useful = _PER_CENT * tally.answered.total() / whole
+    return f'{name:<24}{"".join(cells)}{useful:>8.1f}'
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
--- a/carobmoor/admission/_limit.py
+++ b/carobmoor/admission/_limit.py
@@ -11,11 +11,15 @@
 # Finished requests in one measurement.
 _WINDOW: Final = 128
 # Measurements after a trial that failed, doubled with each further one.
-_LEAST_REST_WINDOWS: Final = 8
-_MOST_REST_WINDOWS: Final = 64
+_LEAST_REST_WINDOWS: Final = 32
+_MOST_REST_WINDOWS: Final = 256
 _STEP: Final = 0.75
+_INSTANT: Final = 0.000001
 # A lower limit must keep this part of the rate.
 _KEPT_RATE: Final = 0.95
+# A lower limit that keeps less than this part so early is given up at once.
+_LOST_RATE: Final = 0.8
+_EARLY: Final = 48
 # A higher limit must bring the rate to at least this multiple.
 _WON_RATE: Final = 1.1
 
@@ -64,9 +68,10 @@
         # The first to finish after a change ran mostly before it.
         if self._count > 0:
             self._sum += slowness
-        if self._count < _WINDOW:
+        is_due = self._count == _WINDOW
+        if not is_due and not self._has_failed_early():
             return
-        self.slowness = self._sum / self._count
+        self.slowness = max(self._sum / self._count, _INSTANT)
         self._sum = 0
         self._count = 0
         if self._trial:
@@ -76,6 +81,13 @@
         else:
             self._try(least_slots, slowdown_ratio)
 
+    def _has_failed_early(self) -> bool:
+        trial = self._trial
+        if trial is None or self._count != _EARLY:
+            return False
+        rate = self.limit / max(self._sum / self._count, _INSTANT)
+        return rate < _LOST_RATE * trial.old_rate
+
     def _judge(self, trial: Trial) -> None:
         is_lower = self.limit < trial.old_limit
         wanted = _KEPT_RATE if is_lower else _WON_RATE
