Blame those that left too, learn nothing from lost calls, show the limit

Cause: a request whose caller hung up before the backend server died bore no mark; a connection lost after a millisecond made the backend server look fast, and with it the estimates by which requests are dropped early; operators saw neither the adaptive limit nor who waits by rank; load reports named the declared slots while fewer were in force.

A lost call is charged to its rank and caller, but teaches no service time. `Gate` takes its clock, so that its tests step it. Gauges by rank, for the limit, pauses and marks; `status` and load reports give the limit.

--- a/carobmoor/admission/_decide.py
+++ b/carobmoor/admission/_decide.py
@@ -71,12 +71,17 @@
         state.limit.learn(slowness, tuning.least_slots, tuning.slowdown_ratio)
 
 
-def release(state: AdmissionState, number: int, now_s: float) -> None:
-    """Give back a slot that was not used; there is nothing to learn.
+def release(
+    state: AdmissionState,
+    number: int,
+    used_s: float,
+    now_s: float,
+) -> None:
+    """Give back a slot of whose use there is nothing to learn.
 
     Raises `KeyError` when this number holds no slot.
     """
-    _free(state, number, 0, now_s)
+    _free(state, number, used_s, now_s)
 
 
 def start_next(state: AdmissionState, now_s: float) -> Sequence[Grant]:
--- a/carobmoor/admission/_gate.py
+++ b/carobmoor/admission/_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 from typing import Final
 
 from result import Err, Ok, Result
@@ -31,6 +32,7 @@
 _log = logger_for('admission')
 
 Waiting = asyncio.Future[Code | None]
+Clock = Callable[[], float]
 
 
 class Gate:
@@ -40,8 +42,13 @@
     grant that it gave.
     """
 
-    def __init__(self, policy: AdmissionPolicy) -> None:
+    def __init__(
+        self,
+        policy: AdmissionPolicy,
+        clock: Clock = time.monotonic,
+    ) -> None:
         """Open the gate with every slot free."""
+        self._clock = clock
         self.state = AdmissionState(policy)
         self.is_leaving = False
         self.pauses = 0
@@ -52,7 +59,7 @@
         """Wait for a slot; `Err` means that the request does not run."""
         if self.is_leaving:
             return Err(Code.LEAVING)
-        offered = offer(self.state, arrival, time.monotonic())
+        offered = offer(self.state, arrival, self._clock())
         if isinstance(offered, Err):
             return offered
         placement = offered.ok_value
@@ -66,10 +73,20 @@
         self.pump()
         return await self._wait(grant, waiting)
 
-    def leave(self, grant: Grant, service_time_s: float) -> None:
-        """Give the slot back and start whoever is next."""
-        now_s = time.monotonic()
-        finish(self.state, grant.number, service_time_s, now_s)
+    def leave(
+        self,
+        grant: Grant,
+        service_time_s: float,
+        is_typical: bool = True,
+    ) -> None:
+        """Give the slot back and start whoever is next.
+
+        The service time is charged to the rank and its caller. Nothing is
+        learned from one that is not typical, such as that of a lost
+        connection.
+        """
+        learn = finish if is_typical else release
+        learn(self.state, grant.number, service_time_s, self._clock())
         self.pump()
 
     def give_back(self, grant: Grant) -> None:
@@ -77,7 +94,7 @@
 
         Nothing is learned from it.
         """
-        release(self.state, grant.number, time.monotonic())
+        release(self.state, grant.number, 0, self._clock())
         self.pump()
 
     async def wait_idle(self) -> None:
@@ -92,7 +109,7 @@
         The lapsed are always looked for first, so that nothing whose time
         has passed during a pause of this process is started.
         """
-        now_s = time.monotonic()
+        now_s = self._clock()
         if self.state.queued_total:
             for drop in expire(self.state, now_s):
                 self._refuse(drop)
@@ -110,9 +127,9 @@
     async def watch(self) -> None:
         """Refuse the lapsed in time, also when no slot comes free."""
         while True:
-            slept_from_s = time.monotonic()
+            slept_from_s = self._clock()
             await asyncio.sleep(_EXPIRY_INTERVAL_S)
-            self.note_pause(time.monotonic() - slept_from_s)
+            self.note_pause(self._clock() - slept_from_s)
             if self._waiting:
                 self.pump()
 
@@ -143,7 +160,7 @@
             raise
         if refused is not None:
             return Err(refused)
-        if grant.arrival.deadline_s <= time.monotonic():
+        if grant.arrival.deadline_s <= self._clock():
             # The process stood still between the grant and this line.
             self.give_back(grant)
             return Err(Code.DEADLINE_LAPSED)
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -9,6 +9,7 @@
 from carobmoor.explain import find_record, recent_bad
 from carobmoor.node._configure import route_configuration
 from carobmoor.node._departure import Departure
+from carobmoor.node._gauges import set_gauges
 from carobmoor.node._peers import route_peers
 from carobmoor.node._quarantine import route_quarantine
 from carobmoor.node._replies import (
@@ -37,6 +38,7 @@
     is_leaving: bool
     configuration_version: int
     slots: int
+    concurrency_limit: int
     in_flight: int
     queued: int
     members: int
@@ -94,8 +96,7 @@
         return as_json(OK, policy_of(node.dispatcher))
 
     async def metrics() -> Response:
-        node.metrics.in_flight.set(node.gate.state.in_flight_total)
-        node.metrics.queued.set(node.gate.state.queued_total)
+        set_gauges(node)
         node.metrics.decisions.set(len(node.tickets.decisions))
         content = Content(b'text/plain; version=0.0.4', node.metrics.render())
         return Response(OK, content=content)
@@ -135,6 +136,7 @@
         'is_leaving': node.gate.is_leaving,
         'configuration_version': node.configuration.version,
         'slots': admission.policy.slots,
+        'concurrency_limit': admission.limit.limit,
         'in_flight': admission.in_flight_total,
         'queued': admission.queued_total,
         'members': len(node.gossip.known()),
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -144,18 +144,21 @@
     started_s = time.monotonic()
     exchange.queued_s = started_s - exchange.started_s
     exchange.note('admission', 'started')
-    node.quarantine.start(permit)
+    node.quarantine.crashes.start(permit)
     node.record(
         Kind.ADMITTED,
         request_id=arrival.request_id,
         subject=str(node.backend_server),
     )
+    is_typical = False
     try:
         running = _run(node, exchange, permit)
-        return await _run_for_caller(exchange, running)
+        failure = await _run_for_caller(exchange, running)
+        is_typical = failure is None or exchange.left_s <= 0
     finally:
         exchange.served_s = time.monotonic() - started_s
-        node.gate.leave(entered.ok_value, exchange.served_s)
+        node.gate.leave(entered.ok_value, exchange.served_s, is_typical)
+    return failure
 
 
 async def _run_for_caller(
--- /dev/null
+++ b/carobmoor/node/_gauges.py
@@ -0,0 +1,21 @@
+"""Gauges that are read from the state when the metrics are asked for."""
+
+import time
+
+from carobmoor.node._state import NodeState
+from carobmoor.quarantine import list_marks
+
+
+def set_gauges(node: NodeState) -> None:
+    """Bring the gauges of admission and quarantine up to date."""
+    metrics = node.metrics
+    admission = node.gate.state
+    metrics.in_flight.set(admission.in_flight_total)
+    metrics.queued.set(admission.queued_total)
+    metrics.concurrency_limit.set(admission.limit.limit)
+    for name, rank in admission.ranks.items():
+        metrics.rank_slots_in_use.labels(name).set(rank.in_flight)
+        metrics.rank_queued.labels(name).set(len(rank.queue))
+    metrics.pauses.set(node.gate.pauses)
+    marks = list_marks(node.quarantine.state, time.monotonic())
+    metrics.marked_requests.set(len(marks))
--- a/carobmoor/node/_guard.py
+++ b/carobmoor/node/_guard.py
@@ -35,6 +35,7 @@
     A call that ran out of time, whose caller broke off, or of which nothing
     was written, tells nothing of the backend server.
     """
-    is_own_fault = exchange.body.fault is not None or exchange.left_s <= 0
-    if not is_own_fault and not proves_not_run(failure):
-        await node.quarantine.lost(permit)
+    if proves_not_run(failure):
+        node.quarantine.crashes.end(permit)
+    elif exchange.body.fault is None and exchange.left_s > 0:
+        await node.quarantine.crashes.lost(permit)
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -116,7 +116,7 @@
         admission = self.gate.state
         now_s = time.monotonic()
         return LoadReport(
-            max(1, admission.policy.slots),
+            max(1, admission.limit.limit),
             admission.in_flight_total,
             admission.queued_total,
             service_time_us(self.served),
--- a/carobmoor/quarantine/__init__.py
+++ b/carobmoor/quarantine/__init__.py
@@ -19,6 +19,7 @@
 from carobmoor.quarantine._fingerprint import Suspect, fingerprint_of
 from carobmoor.quarantine._messages import (
     Mark,
+    Permit,
     Position,
     QuarantinePolicy,
     Ruling,
@@ -27,7 +28,7 @@
 )
 from carobmoor.quarantine._spread import MARKS_TARGET, Neighbours, Spread
 from carobmoor.quarantine._state import QuarantineState, export, merge
-from carobmoor.quarantine._watch import Permit, Quarantine
+from carobmoor.quarantine._watch import Quarantine
 
 __all__ = [
     'MARKS_TARGET',
--- a/carobmoor/quarantine/_messages.py
+++ b/carobmoor/quarantine/_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from carobmoor.quarantine._fingerprint import Suspect
+
 _LONGEST_NAME: Final = 512
 _MOST_CRASHES: Final = 16
 _MOST_MARKS: Final = 10_000
@@ -48,6 +50,15 @@
         return [one for one in self.crash_ids if one not in self.cleared_ids]
 
 
+class Permit(NamedTuple):
+    """Leave to run a request; given back with `Quarantine.leave`."""
+
+    number: int
+    suspect: Suspect
+    # Empty for a request without a mark.
+    marked_fingerprint: str
+
+
 class Position(enum.Enum):
     """What a mark means for a request at this node."""
 
--- a/carobmoor/quarantine/tests/test_decide.py
+++ b/carobmoor/quarantine/tests/test_decide.py
@@ -69,13 +69,14 @@
     assert fingerprint_of(keyed) != fingerprint_of(other)
 
 
-def test_one_crash_leaves_one_owner():
+@params(*range(len(NODES)))
+def test_one_crash_leaves_one_owner(crashed):
     """A marked request runs alone on one node, not where it crashed."""
-    state = state_after(f'{NODES[0]}/1')
+    state = state_after(f'{NODES[crashed]}/1')
     told = positions(state)
     assert told.count(Position.ALONE) == 1
     assert told.count(Position.ELSEWHERE) == 2
-    assert told[0] is Position.ELSEWHERE
+    assert told[crashed] is Position.ELSEWHERE
 
 
 def test_only_node_serves_although_crashed():
--- a/carobmoor/quarantine/tests/test_watch.py
+++ b/carobmoor/quarantine/tests/test_watch.py
@@ -63,7 +63,7 @@
         """Let a request in and start it."""
         entered = await self.quarantine.enter(suspect(name), PATIENCE_S)
         permit = entered.unwrap()
-        self.quarantine.start(permit)
+        self.quarantine.crashes.start(permit)
         return permit
 
     def crashes(self, name):
@@ -78,8 +78,8 @@
     async with Watched() as watched:
         permits = [await watched.start(name) for name in 'abc']
         await watched.die()
-        await watched.quarantine.lost(permits[0])
-        await asyncio.gather(*map(watched.quarantine.lost, permits[1:]))
+        await watched.quarantine.crashes.lost(permits[0])
+        await asyncio.gather(*map(watched.quarantine.crashes.lost, permits[1:]))
         assert [watched.crashes(name) for name in 'abc'] == [1, 1, 1]
 
 
@@ -88,7 +88,7 @@
     """A connection lost while the backend server lives marks nobody."""
     async with Watched() as watched:
         permit = await watched.start('a')
-        await watched.quarantine.lost(permit)
+        await watched.quarantine.crashes.lost(permit)
         assert watched.crashes('a') == 0
 
 
@@ -98,7 +98,7 @@
     async with Watched() as watched:
         permits = [await watched.start(name) for name in 'ab']
         idle = await watched.start('idle')
-        await asyncio.gather(*map(watched.quarantine.lost, permits))
+        await asyncio.gather(*map(watched.quarantine.crashes.lost, permits))
         watched.quarantine.leave(idle)
         assert watched.crashes('a') == watched.crashes('b') == 1
         assert watched.crashes('idle') == 0
@@ -110,12 +110,12 @@
     async with Watched() as watched:
         first = await watched.start('bad')
         await watched.die()
-        await watched.quarantine.lost(first)
+        await watched.quarantine.crashes.lost(first)
         watched.quarantine.leave(first)
         again = await watched.start('bad')
         beside = await watched.start('good')
-        await watched.quarantine.lost(again)
-        await watched.quarantine.lost(beside)
+        await watched.quarantine.crashes.lost(again)
+        await watched.quarantine.crashes.lost(beside)
         watched.quarantine.leave(again)
         assert watched.crashes('bad') == 2
         assert watched.crashes('good') == 0
@@ -129,7 +129,7 @@
     async with Watched() as watched:
         permits = [await watched.start(name) for name in 'ab']
         await watched.die()
-        await asyncio.gather(*map(watched.quarantine.lost, permits))
+        await asyncio.gather(*map(watched.quarantine.crashes.lost, permits))
         for permit in permits:
             watched.quarantine.leave(permit)
         alone = await watched.start('a')
@@ -152,7 +152,7 @@
         other = await watched.start('b')
         assert watched.quarantine.recheck(queued) is None
         await watched.die()
-        await watched.quarantine.lost(other)
+        await watched.quarantine.crashes.lost(other)
         refused = watched.quarantine.recheck(queued)
         assert refused.code is Code.QUARANTINED
 
@@ -165,3 +165,21 @@
             watched.quarantine.spread.hear(body)
         assert not watched.quarantine.state.marks
         assert not merge(watched.quarantine.state, (), 0)
+
+
+@asynchronous
+async def test_caller_that_left_is_blamed_too():
+    """A request whose caller went away may still be the one that crashes."""
+    async with Watched() as watched:
+        gone = await watched.start('gone')
+        answered = await watched.start('answered')
+        refused = await watched.start('refused')
+        await watched.quarantine.answered(answered)
+        watched.quarantine.crashes.end(refused)
+        for permit in (gone, answered, refused):
+            watched.quarantine.leave(permit)
+        last = await watched.start('last')
+        await watched.die()
+        await watched.quarantine.crashes.lost(last)
+        names = ('gone', 'answered', 'refused', 'last')
+        assert [watched.crashes(name) for name in names] == [1, 0, 0, 1]
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -68,6 +68,33 @@
             'Requests whose decision is remembered.',
             registry=self.registry,
         )
+        self.concurrency_limit = Gauge(
+            'carobmoor_concurrency_limit',
+            'The adaptive limit on slots in use, at most the declared slots.',
+            registry=self.registry,
+        )
+        self.rank_slots_in_use = Gauge(
+            'carobmoor_rank_slots_in_use',
+            'Slots of the backend server in use, by rank.',
+            ('rank',),
+            registry=self.registry,
+        )
+        self.rank_queued = Gauge(
+            'carobmoor_rank_requests_queued',
+            'Requests that wait for a slot, by rank.',
+            ('rank',),
+            registry=self.registry,
+        )
+        self.pauses = Gauge(
+            'carobmoor_node_pauses',
+            'How often the event loop stood still beyond its bound.',
+            registry=self.registry,
+        )
+        self.marked_requests = Gauge(
+            'carobmoor_marked_requests',
+            'Requests marked or quarantined for crashes.',
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             'carobmoor_configuration_version',
             'The version of the configuration in force.',
