Bound the exchange of marks, hold clearing to the operator's scope

Cause: with its most marks (1,000) a node told 133 KB every 5 s, above the 25 KB/s that it may spend on control; an operator of one team could clear another team's marks, and the log of a clearing held the operator's whole entry.

Change: a regular message tells 100 marks at most, drawn at random; clearing asks for the service's scope and logs the name alone.

--- /dev/null
+++ b/carobmoor/configuration/tests/test_load_sections.py
@@ -0,0 +1,60 @@
+"""The sections of the document on admission and quarantine."""
+
+from nose2.tools import params
+
+from carobmoor.admission import AdmissionTuning
+from carobmoor.configuration import (
+    admission_policy_of,
+    quarantine_policy_of,
+    validate_document,
+)
+from carobmoor.quarantine import QuarantinePolicy
+
+
+def document(**service):
+    """Make a document of one service and one rank."""
+    rank = {
+        'name': 'booking',
+        'target_latency_ms': 250,
+        'worth': 1.0,
+        'guaranteed_share': 0.5,
+    }
+    declared = {'team': 'storefront', 'slots': 9, **service}
+    return {'ranks': [rank], 'services': {'bookings': declared}}
+
+
+def test_defaults():
+    """Without the sections the defaults hold."""
+    checked = validate_document(document()).unwrap()
+    policy = admission_policy_of(checked, 'bookings')
+    assert policy.tuning == AdmissionTuning()
+    assert quarantine_policy_of(checked, 'bookings') == QuarantinePolicy()
+
+
+def test_sections_are_taken():
+    """What the document says comes into force."""
+    given = document(
+        admission={'least_slots': 2, 'share_burst_ms': 50},
+        quarantine={'mark_ms': 2000},
+    )
+    checked = validate_document(given).unwrap()
+    tuning = admission_policy_of(checked, 'bookings').tuning
+    assert tuning == AdmissionTuning(least_slots=2, share_burst_ms=50)
+    assert quarantine_policy_of(checked, 'bookings').mark_ms == 2000
+
+
+@params(
+    ('admission', 'least_slots', 0),
+    ('admission', 'share_burst_ms', 0),
+    ('admission', 'slowdown_ratio', 1.0),
+    ('admission', 'pause_bound_ms', 9),
+    ('admission', 'unknown', 1),
+    ('quarantine', 'mark_ms', 999),
+    ('quarantine', 'quarantine_ms', 86_400_001),
+    ('quarantine', 'most_marks', 0),
+)
+def test_out_of_range(section, name, setting):
+    """A fault names its path in the document."""
+    given = document(**{section: {name: setting}})
+    faults = validate_document(given).unwrap_err()
+    assert faults[0].path == f'$.services.bookings.{section}.{name}'
--- a/carobmoor/node/_quarantine.py
+++ b/carobmoor/node/_quarantine.py
@@ -12,6 +12,7 @@
     refuse,
     unauthorised,
 )
+from carobmoor.node._scope import refuse_stranger
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code
 from carobmoor.quarantine import list_marks
@@ -25,19 +26,23 @@
     """Serve the list of marks, and their clearing."""
 
     async def listed(request: Request) -> Response:
-        if not operator_of(node, request):
+        if operator_of(node, request) is None:
             return unauthorised(node)
         marks = list_marks(node.quarantine.state, time.monotonic())
         return as_json(OK, [mark._asdict() for mark in marks])
 
     async def clear(request: Request, fingerprint: str) -> Response:
         operator = operator_of(node, request)
-        if not operator:
+        if operator is None:
             return unauthorised(node)
+        refused = refuse_stranger(node, operator)
+        if refused is not None:
+            return refused
         cleared = await node.quarantine.clear(fingerprint)
         if cleared is None:
             return refuse(node, Code.NOT_FOUND, 'no mark of this request')
-        _log.info('Operator cleared.', mark=fingerprint, operator=operator)
+        name = operator.name
+        _log.info('Operator cleared.', mark=fingerprint, operator=name)
         return as_json(OK, cleared._asdict())
 
     app.router.add_get(_PATH, listed)
--- a/carobmoor/quarantine/_spread.py
+++ b/carobmoor/quarantine/_spread.py
@@ -18,6 +18,8 @@
 _EXCHANGE_INTERVAL_S: Final = 5
 _EXCHANGE_TIMEOUT_S: Final = 0.5
 _MOST_PUSHES: Final = 64
+# Marks in one message of the regular exchange.
+_MOST_TOLD: Final = 100
 _MOST_MESSAGE_BYTES: Final = 4_194_304
 _log = logger_for('quarantine')
 
@@ -68,13 +70,9 @@
             _log.info('Marks heard.', known=len(self.state.marks))
 
     def answer(self, body: bytes) -> bytes:
-        """Take in a message of another node and answer with all marks."""
+        """Take in a message of another node and answer with own marks."""
         self.hear(body)
-        return encode_marks(self.known())
-
-    def known(self) -> Sequence[Mark]:
-        """Give all marks, the cleared among them."""
-        return export(self.state, time.monotonic())
+        return self._some_marks()
 
     async def tell(self, marks: Sequence[Mark]) -> None:
         """Tell the other nodes of the service at once."""
@@ -99,9 +97,16 @@
             expire(self.state, time.monotonic())
             others = self.neighbours.others()
             if others:
-                told = encode_marks(self.known())
+                told = self._some_marks()
                 await self._exchange(self._rng.choice(others), told)
 
+    def _some_marks(self) -> bytes:
+        """Write marks, the cleared among them, as many as one may tell."""
+        marks = export(self.state, time.monotonic())
+        if len(marks) > _MOST_TOLD:
+            marks = self._rng.sample(marks, _MOST_TOLD)
+        return encode_marks(marks)
+
     async def _exchange(self, node: str, body: bytes) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_EXCHANGE_TIMEOUT_S):
--- a/tests/test_crash_request.py
+++ b/tests/test_crash_request.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from carobmoor import Call, Client, Code, NotRun
+from carobmoor.transport import OutgoingRequest, request_json
 from stand_ins.deployment import Place
 from tests.fixtures import asynchronous, client_of, running
 
@@ -19,6 +20,7 @@
     rank='booking',
 )
 TRIES = 12
+PATIENCE_S = 5
 
 
 @asynchronous
@@ -75,12 +77,25 @@
 async def clear(deployment, fingerprint: str) -> None:
     """Clear the mark at one node; every node forgets it."""
     path = f'/_carobmoor/quarantine/{fingerprint}'
+    await refused_without_token(deployment, 'GET', '/_carobmoor/quarantine')
+    await refused_without_token(deployment, 'DELETE', path)
     await deployment.ask(deployment.pairs[3].node, 'DELETE', path)
     for pair in deployment.pairs:
         told = await deployment.ask(pair.node, 'GET', '/_carobmoor/quarantine')
         assert fingerprint not in {mark['fingerprint'] for mark in told}
 
 
+async def refused_without_token(deployment, method: str, path: str) -> None:
+    """Ask as nobody in particular."""
+    asked = await request_json(
+        deployment.pool,
+        deployment.pairs[0].node,
+        OutgoingRequest(method, path, ()),
+        PATIENCE_S,
+    )
+    assert asked.unwrap().head.status == 401
+
+
 def crashes_of(mark) -> int:
     """Count the crashes that are held against a request."""
     return len(set(mark['crash_ids']) - set(mark['cleared_ids']))
