Judge a lower limit against settled rates, and bench a server that thrashes

Ruled out: the earlier load of the bench (4 cores from the start) shows nothing, as its calm part is crowded already and becomes the usual; crowding in mere proportion shows nothing either, as no limit changes the rate.

Change: no trial starts from a measurement that rose by half over the one before; a slowness that rose by half over that of the failed trial ends the rest. The bench slows the server in the middle of the run.

Shown failing first: test_onset_of_a_slowdown_misleads_nobody with the former _limit.py.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -4,6 +4,7 @@
 both deployments of `examples/`, over several seeds.
 """
 
+import itertools
 import statistics
 import sys
 from collections.abc import Sequence
@@ -34,9 +35,11 @@
     flooding: int | None = None
     # Whether every other rank asks for more than its guaranteed share.
     is_greedy: bool = False
-    # The backend server slows down by this in the middle of the run.
+    # From the middle of the run on the backend server is slower by this, and
+    # serves no more than this many requests at full speed.
     slowdown: float = 1
     cores: int = 10_000
+    crowding_exponent: float = 1
     # The mean service time of the least urgent rank.
     least_urgent_s: float = _SERVICE_S
 
@@ -57,9 +60,11 @@
     Case('no flood, 3 times slower', slowdown=3),
     Case('least urgent floods, 3 times slower', -1, slowdown=3),
     Case('most urgent floods, 3 times slower', 0, slowdown=3),
-    Case('no flood, 4 cores', cores=4),
-    Case('least urgent floods, 4 cores', -1, cores=4),
-    Case('most urgent floods, 4 cores', 0, cores=4),
+    Case('least urgent floods, 4 cores left', -1, cores=4),
+    Case(
+        'least urgent floods, 4 cores thrash', -1, cores=4, crowding_exponent=2
+    ),
+    Case('most urgent floods, 4 cores thrash', 0, cores=4, crowding_exponent=2),
 )
 
 
@@ -89,7 +94,11 @@
         return self.from_s <= at_s < self.until_s
 
 
-def measure_admission(seconds: float = 10, seeds: int = 3) -> None:
+def measure_admission(
+    seconds: float = 10,
+    seeds: int = 3,
+    load: str = '',
+) -> None:
     """Print what each rank keeps in each flood.
 
     Each cell gives the answers within the target, and the useful slot time
@@ -98,19 +107,20 @@
     Args:
         seconds: The simulated length of a run.
         seeds: How many seeds the medians are over.
+        load: Only the loads whose name has this in it.
     """
     for deployment, service, demands in _DEPLOYMENTS:
         document = read_example(deployment)
         policy = admission_policy_of(document, service)
         _say(f'{deployment}: {policy.slots} slots, parts in per cent')
         _say(f'{"load":<38}{"way":<10}{_heads(policy)}  useful')
-        for case in _CASES:
-            for way in WAYS:
-                tables = [
-                    run_case(policy, demands, case, way, seed, seconds)
-                    for seed in range(seeds)
-                ]
-                _say(_line(case, way, _median(tables)))
+        wanted = [case for case in _CASES if load in case.name]
+        for case, way in itertools.product(wanted, WAYS):
+            tables = [
+                run_case(policy, demands, case, way, seed, seconds)
+                for seed in range(seeds)
+            ]
+            _say(_line(case, way, _median(tables)))
 
 
 def run_case(
@@ -123,7 +133,13 @@
 ) -> Table:
     """Run one case once."""
     middle_s = _WARM_S + (seconds - _WARM_S) / 2
-    backend = Backend(policy.slots, case.cores, middle_s, case.slowdown)
+    backend = Backend(
+        policy.slots,
+        case.cores,
+        middle_s,
+        case.slowdown,
+        case.crowding_exponent,
+    )
     parts = _parts(policy, demands, case)
     streams = [
         _stream(rank, part * policy.slots, case.service_s(rank, policy), 0)
@@ -136,7 +152,8 @@
         streams.append(flood)
     run = Run(WAYS[way](policy), backend, seed)
     run.drive(streams, seconds)
-    from_s = middle_s if case.slowdown > 1 else _WARM_S
+    is_whole = case.slowdown == 1 and case.cores > policy.slots
+    from_s = _WARM_S if is_whole else middle_s
     speed = 1 / case.slowdown
     if case.cores < policy.slots:
         speed = case.cores / policy.slots
--- a/bench/stepped.py
+++ b/bench/stepped.py
@@ -45,14 +45,16 @@
 class Backend(NamedTuple):
     """A fake backend server.
 
-    Beyond `cores` in flight each request takes longer in proportion, and
-    from `slow_from_s` on every request takes `slowdown` times as long.
+    From `slow_from_s` on every request takes `slowdown` times as long, and
+    beyond `cores` in flight longer still.
     """
 
     slots: int
     cores: int = 10_000
     slow_from_s: float = 1_000_000
     slowdown: float = 1
+    # With 1 a crowded server keeps its rate of answers; above, it loses some.
+    crowding_exponent: float = 1
 
     def service_s(
         self,
@@ -62,9 +64,11 @@
         rng: random.Random,
     ) -> float:
         """Draw one service time."""
-        crowding = max(1, in_flight / self.cores)
-        slowdown = self.slowdown if now_s >= self.slow_from_s else 1
-        return rng.expovariate(1) * mean_s * crowding * slowdown
+        drawn_s = rng.expovariate(1) * mean_s
+        if now_s < self.slow_from_s:
+            return drawn_s
+        crowding = max(1, in_flight / self.cores) ** self.crowding_exponent
+        return drawn_s * self.slowdown * crowding
 
 
 class Outcome(NamedTuple):
--- a/carobmoor/admission/_limit.py
+++ b/carobmoor/admission/_limit.py
@@ -14,6 +14,8 @@
 _LEAST_REST_WINDOWS: Final = 32
 _MOST_REST_WINDOWS: Final = 256
 _STEP: Final = 0.75
+# A slowness that rose by this factor is another state of the server.
+_CHANGED: Final = 1.5
 _INSTANT: Final = 0.000001
 # A lower limit must keep this part of the rate.
 _KEPT_RATE: Final = 0.95
@@ -46,6 +48,9 @@
         self._rest_windows = 0
         self._next_rest_windows = _LEAST_REST_WINDOWS
         self._lower_failed = False
+        # The slowness of the measurement before, and at the last failed trial.
+        self._slowness_before = float(1)
+        self._failed_slowness = float(1)
 
     def replace_slots(self, slots: int) -> None:
         """Start over at other declared slots; the same change nothing."""
@@ -76,10 +81,23 @@
         self._count = 0
         if self._trial:
             self._judge(self._trial)
-        elif self._rest_windows:
+        elif self._rest_windows and not self._has_changed():
             self._rest_windows -= 1
-        else:
+        elif self._is_settled():
             self._try(least_slots, slowdown_ratio)
+        self._slowness_before = self.slowness
+
+    def _has_changed(self) -> bool:
+        """Tell whether the last failed trial no longer tells anything."""
+        return self.slowness > _CHANGED * self._failed_slowness
+
+    def _is_settled(self) -> bool:
+        """Tell whether the measurement fell into no change of speed.
+
+        A rate from before and after a slowdown would be too high to compare
+        a trial with.
+        """
+        return self.slowness < _CHANGED * self._slowness_before
 
     def _has_failed_early(self) -> bool:
         trial = self._trial
@@ -98,6 +116,7 @@
             return
         self._set(trial.old_limit)
         self._lower_failed = is_lower
+        self._failed_slowness = trial.old_limit / trial.old_rate
         self._rest_windows = self._next_rest_windows
         self._next_rest_windows = min(
             _MOST_REST_WINDOWS,
--- a/carobmoor/admission/tests/test_limit.py
+++ b/carobmoor/admission/tests/test_limit.py
@@ -49,3 +49,11 @@
     for _ in range(20_000):
         limit.learn(float(limit.limit), 8, 1.5)
         assert limit.limit >= 8
+
+
+def test_onset_of_a_slowdown_misleads_nobody():
+    """A slowdown that falls into a measurement is judged by the next ones."""
+    limit = LimitState(SLOTS)
+    learn(limit, lambda _: 1.0, 64)
+    seen = learn(limit, lambda slots: max(1, slots / 4) ** 2, 3000)
+    assert 4 <= seen[-1] <= 6
