--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
         'hop': measure_hop,
         'membership': measure_membership,
         'configuration': measure_configuration,
+        'quarantine': measure_quarantine,
         'retries': measure_retries,
         'routing': measure_routing,
     },
