Measure the fleet; meet strangers, follow up what an exchange found

Cause: nothing had measured the control path.

Ruled out: own entries in every probe (doubles the bytes of a probe for what matters only at a start).

Change: `python -m bench membership` and `python -m bench configuration` over real processes and sockets, ten nodes a process. A node that hears a stranger compares members with it soon; an exchange that found anything is followed by another within 5 s; an empty ring is walked again only after a change; one far member is probed every second instead of every other, and one lost member every other second instead of every fifth, so that cuts are found and ended sooner. A router per application. `start_control` and `assemble` are shared with the bench.

Tests, with what was taken out to see each fail: corrections (both know the same; death is told), the filter on the dead (the dead don't circulate), the follow-up, meeting strangers, meeting unknown seeds, the check for stale seeds, the memory of an empty ring. The store's fake moved to carobmoor/platform/tests/fixtures.py, where both slices use it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,10 +6,17 @@
 import fire
 
 from bench.admission import measure_admission
+from bench.configuration import measure_configuration
 from bench.hop import measure_hop
+from bench.membership import measure_membership
 
 _BENCHES = MappingProxyType(
-    {'admission': measure_admission, 'hop': measure_hop}
+    {
+        'admission': measure_admission,
+        'hop': measure_hop,
+        'membership': measure_membership,
+        'configuration': measure_configuration,
+    }
 )
 
 
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,241 @@
+"""A fleet of nodes without data plane, several in each process."""
+
+import asyncio
+import json
+import socket
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from carobmoor.transport import Address
+from stand_ins.deployment import Deployment
+
+_IP = '127.0.0.1'
+_ZONES = tuple(
+    (region, f'{region}-{letter}')
+    for region in ('lagos', 'abuja', 'ibadan')
+    for letter in 'ab'
+)
+_NODES_PER_SERVICE = 5
+_READY_S = 60
+_POLL_S = 0.1
+_FIRST_PORT = 21000
+
+
+class Cost(NamedTuple):
+    """The control cost of one node over a time."""
+
+    datagrams_per_s: float
+    datagram_bytes_per_s: float
+    calls_per_s: float
+    call_bytes_per_s: float
+    cpu_percent: float
+    resident_mb: float
+    store_reads_per_s: float
+    store_writes_per_s: float
+
+    def __str__(self) -> str:
+        """Write the figures for a table."""
+        return (
+            f'{self.datagrams_per_s:>7.2f}{self.datagram_bytes_per_s:>8.0f}'
+            f'{self.calls_per_s:>8.3f}{self.call_bytes_per_s:>8.0f}'
+            f'{self.cpu_percent:>8.2f}{self.resident_mb:>8.1f}'
+            f'{self.store_reads_per_s:>9.1f}{self.store_writes_per_s:>9.1f}'
+        )
+
+
+COST_HEAD = (
+    'datagr/s   B/s  calls/s     B/s   cpu %      MB  reads/s writes/s\n'
+    '(per node; sent bytes; store calls of the whole fleet)'
+)
+
+
+class Fleet(Deployment):
+    """The workers of one fleet, and the platform's stand-in."""
+
+    def __init__(self, count: int, per_process: int) -> None:
+        """Plan the nodes; nothing runs yet."""
+        super().__init__()
+        self.addresses = _free_addresses(count)
+        self.settings = [self._settings(each) for each in range(count)]
+        self.per_process = per_process
+        self.services = max(1, count // _NODES_PER_SERVICE)
+        self.workers: list[asyncio.subprocess.Process] = []
+        self._lock = asyncio.Lock()
+
+    def zone_of(self, number: int) -> tuple[str, str]:
+        """Give the region and the availability zone of a node."""
+        return _ZONES[number % len(_ZONES)]
+
+    def document(self, slots: int = 9) -> Mapping[str, Any]:
+        """Make a document that declares the services."""
+        rank = {
+            'name': 'booking',
+            'target_latency_ms': 100,
+            'worth': 1.0,
+            'guaranteed_share': 0.5,
+        }
+        declared = {
+            f'service-{number}': {'team': 'hire', 'slots': slots}
+            for number in range(self.services)
+        }
+        return {'ranks': [rank], 'services': declared}
+
+    async def start_nodes(self) -> None:
+        """Start every worker, publish version 1 and wait for all."""
+        step = self.per_process
+        for first in range(0, len(self.settings), step):
+            path = self.folder / f'worker-{first}.json'
+            path.write_text(json.dumps(self.settings[first : first + step]))
+            await self._start_worker(str(path))
+        await self.until(self._first_answers, 'the first node answers')
+        await self.put(self.document(), 0)
+        told = await self.converge(1, (), len(self.settings), _READY_S)
+        sys.stdout.write(f'{len(self.settings):>5} met in {told[1]:.1f} s\n')
+
+    async def put(self, document: Any, base: int, through: int = 0) -> Any:
+        """Publish a document through a node."""
+        body = json.dumps(
+            {'base_version': base, 'reason': 'bench', 'document': document},
+        )
+        return await self.ask(
+            self.addresses[through],
+            'PUT',
+            '/_carobmoor/configuration',
+            body.encode(),
+        )
+
+    async def tell(self, **command: Any) -> Sequence[Any]:
+        """Give every worker a command and collect the answers."""
+        line = f'{json.dumps(command)}\n'.encode()
+        async with self._lock:
+            return await asyncio.gather(
+                *(self._tell_one(worker, line) for worker in self.workers),
+            )
+
+    async def views(self, targets: Sequence[str] = ()) -> Sequence[Any]:
+        """Collect every living node's view."""
+        told = await self.tell(do='view', targets=list(targets))
+        return [view for views in told for view in views]
+
+    async def converge(
+        self,
+        version: int,
+        targets: Sequence[str],
+        reachable: int,
+        most_s: float,
+    ) -> tuple[float, float, int]:
+        """Wait until all nodes see it so.
+
+        Gives the seconds to 99% and to all of the nodes (infinite when not
+        reached), and the false deaths seen in the end.
+        """
+        begun_s = time.monotonic()
+        most_of_all_s = float('inf')
+        while True:
+            views = await self.views(targets)
+            right = sum(
+                _is_so(view, version, len(targets), reachable) for view in views
+            )
+            took_s = time.monotonic() - begun_s
+            if right >= 0.99 * len(views):
+                most_of_all_s = min(most_of_all_s, took_s)
+            false_deaths = sum(view[2] for view in views)
+            if right == len(views):
+                return most_of_all_s, took_s, false_deaths
+            if took_s > most_s:
+                return most_of_all_s, float('inf'), false_deaths
+            await asyncio.sleep(_POLL_S)
+
+    async def cost(self, seconds: float, during: Any = None) -> Cost:
+        """Measure the fleet for a time, while `during` runs."""
+        before, store_before = await self._totals()
+        begun_s = time.monotonic()
+        if during is not None:
+            await during
+        await asyncio.sleep(max(0, begun_s + seconds - time.monotonic()))
+        after, store_after = await self._totals()
+        took_s = time.monotonic() - begun_s
+        per_node = 1 / took_s / after['nodes']
+
+        def rate(name: str) -> float:
+            return (after[name] - before[name]) * per_node
+
+        return Cost(
+            rate('datagrams'),
+            rate('datagram_bytes'),
+            rate('calls'),
+            rate('call_bytes'),
+            rate('cpu_s') * 100,
+            after['resident_kb'] / 1024 / after['nodes'],
+            (store_after['reads'] - store_before['reads']) / took_s,
+            (store_after['writes'] - store_before['writes']) / took_s,
+        )
+
+    async def _totals(self) -> tuple[dict[str, float], Any]:
+        told = await self.tell(do='cost')
+        summed = {name: sum(each[name] for each in told) for name in told[0]}
+        store = await self.ask(self.platform, 'GET', '/faults')
+        return summed, store
+
+    async def _first_answers(self) -> bool:
+        target = '/_carobmoor/status'
+        return await self.ask(self.addresses[0], 'GET', target) is not None
+
+    async def _start_worker(self, path: str) -> None:
+        worker = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'bench.fleet_worker',
+            path,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=2**24,
+        )
+        self.processes[path] = worker
+        self.workers.append(worker)
+
+    async def _tell_one(self, worker: Any, line: bytes) -> Any:
+        worker.stdin.write(line)
+        await worker.stdin.drain()
+        return json.loads(await worker.stdout.readline())
+
+    def _settings(self, number: int) -> Mapping[str, Any]:
+        region, zone = self.zone_of(number)
+        platform = self.platform._asdict()
+        services = max(1, len(self.addresses) // _NODES_PER_SERVICE)
+        return {
+            'listen': self.addresses[number]._asdict(),
+            'place': {'region': region, 'availability_zone': zone},
+            'service': f'service-{number % services}',
+            'backend_server': self.platform._asdict(),
+            'platform': {'table_service': platform, 'object_store': platform},
+            'peers': [str(each) for each in self.addresses[:3]],
+            'operators': self.operators(),
+            'cluster_key': 'the key of the bench fleet',
+        }
+
+
+def _free_addresses(count: int) -> list[Address]:
+    """Find ports below those that the system gives to connections."""
+    found: list[Address] = []
+    port = _FIRST_PORT
+    while len(found) < count:
+        port += 1
+        if _is_free(port):
+            found.append(Address(_IP, port))
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((_IP, port))
+        except OSError:
+            return False
+    return True
+
+
+def _is_so(view: Any, version: int, targets: int, reachable: int) -> bool:
+    return view[0] >= version and view[1] == targets and view[3] == reachable
--- a/carobmoor/configuration/tests/test_follow.py
+++ b/carobmoor/configuration/tests/test_follow.py
@@ -20,10 +20,10 @@
     make_change,
 )
 from carobmoor.configuration.tests.fixtures import (
-    FakePlatform,
     Nodes,
     submission,
 )
+from carobmoor.platform.tests.fixtures import FakePlatform
 
 COUNT = 4
 ALL = tuple(str(number) for number in range(COUNT))
--- a/carobmoor/configuration/tests/test_publish.py
+++ b/carobmoor/configuration/tests/test_publish.py
@@ -13,13 +13,12 @@
 )
 from carobmoor.configuration._store import read_history
 from carobmoor.configuration.tests.fixtures import (
-    FakePlatform,
     document,
     no_waits,
-    scripted,
     submission,
 )
 from carobmoor.platform import StoreFailure
+from carobmoor.platform.tests.fixtures import FakePlatform, scripted
 
 # The read of the head, the document, the manifest and three pieces.
 ALL_BEFORE_THE_HEAD = ('ok', 'ok', 'ok', 'ok', 'ok', 'ok')
--- a/carobmoor/configuration/tests/test_racing.py
+++ b/carobmoor/configuration/tests/test_racing.py
@@ -15,11 +15,10 @@
 from carobmoor.configuration._publish import publish
 from carobmoor.configuration._store import read_head, read_history
 from carobmoor.configuration.tests.fixtures import (
-    FakePlatform,
     no_waits,
-    scripted,
     submission,
 )
+from carobmoor.platform.tests.fixtures import FakePlatform, scripted
 
 _IDLE_TURNS = 60
 
--- a/carobmoor/membership/_gossip.py
+++ b/carobmoor/membership/_gossip.py
@@ -153,17 +153,21 @@
     async def _sync_once(self, now_s: float) -> None:
         spread = jitter(self._rng)
         self._next_sync_s = now_s + _SYNC_INTERVAL_S * spread
-        returned = self.probes.returned
-        if returned:
-            address = returned.pop()
-            returned.clear()
+        to_meet = self.probes.to_meet
+        if to_meet:
+            address = to_meet.pop()
+            to_meet.clear()
         else:
             member = self._targets.to_tell()
             if member is None:
                 self._next_sync_s = now_s + _FIRST_SYNC_S
                 return
             address = member.address
+        # An exchange that found anything is followed by another soon.
+        before = self.state.changes
         await self.exchange(parse_address(address))
+        if self.state.changes > before:
+            self._next_sync_s = now_s + _FIRST_SYNC_S * jitter(self._rng)
 
     def _tell_news(self) -> None:
         for _ in range(_FAN_OUT):
@@ -172,7 +176,7 @@
                 self._send([Outgoing(member.address, Kind.NEWS)])
 
     def _note_version(self, datagram: Datagram) -> None:
-        if self.probes.returned:
+        if self.probes.to_meet:
             soon_s = time.monotonic() + _RETURN_SPREAD_S * self._rng.random()
             self._next_sync_s = min(self._next_sync_s, soon_s)
         if datagram.version > self.version and self.on_version is not None:
--- a/carobmoor/membership/_probe.py
+++ b/carobmoor/membership/_probe.py
@@ -20,8 +20,7 @@
 _DIRECT_TIMEOUT_S: Final = 0.4
 _INDIRECT_TIMEOUT_S: Final = 0.5
 _HELPERS: Final = 3
-_FAR_EVERY: Final = 2
-_LOST_EVERY: Final = 5
+_LOST_EVERY: Final = 2
 _CONFIRM_WINDOW_S: Final = 5
 # A loop that wakes later than this was paused and judges nobody.
 PAUSE_S: Final = 1
@@ -51,7 +50,8 @@
         self.targets = targets
         self.health = LocalHealth()
         self.pending: dict[int, Pending] = {}
-        self.returned: list[str] = []
+        # Strangers and members of returned zones, to compare members with.
+        self.to_meet: list[str] = []
         self._number = 0
         self._rounds = 0
 
@@ -67,11 +67,9 @@
 
 
 def start_round(probes: ProbeState, now_s: float) -> Sequence[Outgoing]:
-    """Probe one member near, and now and then one far or one lost."""
+    """Probe one member near, one far, and now and then one lost."""
     count = probes.next_round()
-    drawn = [probes.targets.near()]
-    if count % _FAR_EVERY == 0:
-        drawn.append(probes.targets.far())
+    drawn = [probes.targets.near(), probes.targets.far()]
     if count % _LOST_EVERY == 0:
         drawn.append(probes.targets.lost())
     return [
@@ -88,8 +86,8 @@
     state = probes.members
     merge(state, datagram.news, now_s)
     sender = state.members.get(datagram.sender)
-    if sender is not None and note_heard(state, sender.zone, now_s):
-        probes.returned.append(sender.address)
+    if sender is None or note_heard(state, sender.zone, now_s):
+        probes.to_meet.append(datagram.sender)
     match datagram.kind:
         case Kind.PROBE:
             return [Outgoing(datagram.sender, Kind.ACK, datagram.number)]
--- a/carobmoor/membership/_sync.py
+++ b/carobmoor/membership/_sync.py
@@ -37,6 +37,9 @@
         """Use the pool for calls, signed with the cluster's key."""
         self._pool = pool
         self._cluster_key = cluster_key
+        # What these calls cost, without their heads.
+        self.calls = 0
+        self.moved_bytes = 0
 
     async def post(
         self,
@@ -52,8 +55,11 @@
         )
         request = OutgoingRequest('POST', target, headers, body)
         told = await request_json(self._pool, address, request, _TIMEOUT_S)
+        self.calls += 1
+        self.moved_bytes += len(body)
         if isinstance(told, Err) or told.ok_value.head.status != _OK:
             return None
+        self.moved_bytes += len(told.ok_value.body)
         return told.ok_value.body
 
 
--- a/carobmoor/membership/_targets.py
+++ b/carobmoor/membership/_targets.py
@@ -17,6 +17,8 @@
         """Walk the members that `accepts` names."""
         self._accepts = accepts
         self._order: list[str] = []
+        # The state's changes when the ring was last found empty.
+        self._empty_since = -1
 
     def draw(
         self,
@@ -24,13 +26,17 @@
         rng: random.Random,
     ) -> Member | None:
         """Give the next member; `None` when there is no other."""
-        for is_last_try in (False, True):
-            while self._order:
-                member = state.members.get(self._order.pop())
-                if member is not None and self._accepts(member):
-                    return member
-            if not is_last_try:
-                self._refill(state, rng)
+        member = self._next(state)
+        if member is None and self._empty_since != state.changes:
+            self._refill(state, rng)
+            member = self._next(state)
+        return member
+
+    def _next(self, state: MembershipState) -> Member | None:
+        while self._order:
+            member = state.members.get(self._order.pop())
+            if member is not None and self._accepts(member):
+                return member
         return None
 
     def _refill(self, state: MembershipState, rng: random.Random) -> None:
@@ -40,6 +46,8 @@
             if self._accepts(member)
         ]
         rng.shuffle(self._order)
+        if not self._order:
+            self._empty_since = state.changes
 
 
 class Targets:
--- a/carobmoor/membership/tests/test_probe.py
+++ b/carobmoor/membership/tests/test_probe.py
@@ -1,10 +1,13 @@
 """Probing, suspicion and vanished zones under a stepped clock."""
 
+import random
+
 from nose2.tools import params
 
 from carobmoor.membership._merge import suspect, suspicion_time_s
-from carobmoor.membership._messages import Standing
-from carobmoor.membership._probe import note_pause, start_round
+from carobmoor.membership._messages import Datagram, Kind, Standing
+from carobmoor.membership._probe import hear, note_pause, start_round
+from carobmoor.membership._targets import Ring
 from carobmoor.membership.tests.fixtures import Wire, member, state_of
 
 A = tuple(member(number, 'lagos-a') for number in range(4))
@@ -111,6 +114,34 @@
     assert probes.health.factor == 2
 
 
+def test_strangers_are_met():
+    """A datagram of an unknown node makes the hearer compare members."""
+    probes = Wire(*A).probes[A[0].address]
+    stranger = member(99).address
+    datagram = Datagram(Kind.PROBE, 1, stranger, '', 0)
+    answered = hear(probes, datagram, 100)
+    assert [each.kind for each in answered] == [Kind.ACK]
+    assert probes.to_meet == [stranger]
+
+
+def test_empty_ring_is_not_walked_again():
+    """An empty ring looks at all members only after something changed."""
+    looked = []
+
+    def accepts(each):
+        looked.append(each)
+        return each.standing is Standing.LEAVING
+
+    state = state_of(A[0], A[1:])
+    ring = Ring(accepts)
+    for _ in range(5):
+        assert ring.draw(state, random.Random(0)) is None
+    assert len(looked) == len(A)
+    leaving = A[1]._replace(standing=Standing.LEAVING)
+    state.keep(leaving, 0)
+    assert ring.draw(state, random.Random(0)) == leaving
+
+
 def test_suspicion_time_grows_with_the_cluster():
     """Larger clusters give suspects more time to refute."""
     small = state_of(member(0))
--- /dev/null
+++ b/carobmoor/membership/tests/test_sync.py
@@ -0,0 +1,188 @@
+"""Anti-entropy and seed rows, over calls in memory."""
+
+import asyncio
+import random
+import time
+from unittest import mock
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from carobmoor.membership._digest import bucket_of
+from carobmoor.membership._gossip import Gossip
+from carobmoor.membership._messages import Standing
+from carobmoor.membership._seeds import look_once
+from carobmoor.membership._sync import (
+    answer_digests,
+    answer_members,
+    synchronise,
+)
+from carobmoor.membership.tests.fixtures import member, state_of
+from carobmoor.platform.tests.fixtures import FakePlatform
+from carobmoor.transport import ConnectionPool, parse_address
+
+ME = member(0)
+OTHER = member(1)
+THERE = parse_address(OTHER.address)
+
+
+class PeersInMemory:
+    """Calls that are answered by one other state."""
+
+    def __init__(self, state):
+        """Bind the state that answers."""
+        self.state = state
+        self.moved = []
+
+    async def post(self, address, target, body):
+        """Answer from the other state."""
+        self.moved.append(body)
+        if target.endswith('digests'):
+            return answer_digests(self.state, body)
+        return answer_members(self.state, body, 0)
+
+
+def synchronised(ours, theirs):
+    """Synchronise two states and give the calls that it took."""
+    peers = PeersInMemory(theirs)
+    assert asyncio.run(synchronise(ours, peers, THERE, 0))
+    return peers.moved
+
+
+def living(state):
+    """Give the members that are not dead."""
+    return {
+        known
+        for known in state.members.values()
+        if known.standing is not Standing.DEAD
+    }
+
+
+NEWS = st.lists(
+    st.builds(
+        member,
+        number=st.integers(2, 9),
+        incarnation=st.integers(1, 3),
+        standing=st.sampled_from([Standing.ALIVE, Standing.LEAVING]),
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(NEWS, NEWS)
+def test_both_know_the_same_after(here, there):
+    """One exchange makes both sides agree, and the next finds nothing."""
+    ours = state_of(ME)
+    theirs = state_of(OTHER)
+    for state, news in ((ours, here), (theirs, there)):
+        merge_all(state, news)
+    synchronised(ours, theirs)
+    assert living(ours) == living(theirs)
+    assert ours.digests == theirs.digests
+    assert len(synchronised(ours, theirs)) == 1
+
+
+def merge_all(state, news):
+    """Merge some news."""
+    answer_members(state, msgspec.json.encode(news), 0)
+
+
+@params((True,), (False,))
+def test_death_is_told_to_who_holds_it_alive(is_known_here):
+    """Whichever side asks, the side that missed the death hears of it."""
+    dead = member(2, standing=Standing.DEAD)
+    states = (state_of(ME, [dead]), state_of(OTHER, [member(2)]))
+    ours, theirs = states if is_known_here else reversed(states)
+    synchronised(ours, theirs)
+    for state in states:
+        assert state.members[dead.address].standing is Standing.DEAD
+
+
+def test_the_dead_do_not_circulate():
+    """A death is not told to a node that does not know the member."""
+    bucket = bucket_of(member(2).address)
+    beside = next(
+        each
+        for each in map(member, range(3, 5000))
+        if bucket_of(each.address) == bucket
+    )
+    dead = member(2, standing=Standing.DEAD)
+    theirs = state_of(OTHER, [dead, beside])
+    ours = state_of(ME)
+    synchronised(ours, theirs)
+    assert beside.address in ours.members
+    assert dead.address not in ours.members
+    ours.forget(beside.address)
+    synchronised(theirs, ours)
+    assert beside.address in ours.members
+    assert dead.address not in ours.members
+
+
+def test_what_was_found_is_followed_up():
+    """An exchange that found anything is soon followed by another."""
+
+    async def scenario(found):
+        state = state_of(ME, [OTHER])
+        gossip = Gossip(state, ConnectionPool(), random.Random(0))
+        now_s = time.monotonic()
+
+        async def exchange(_):
+            for number in range(found):
+                state.keep(member(10 + number), 0)
+
+        with mock.patch.object(gossip, 'exchange', exchange):
+            await gossip._sync_once(now_s)
+        return gossip._next_sync_s - now_s
+
+    assert asyncio.run(scenario(1)) < 10
+    assert asyncio.run(scenario(0)) > 20
+
+
+def seeds_after_look(rows, known):
+    """Let a keeper look once at seed rows; give the rows after."""
+
+    async def scenario():
+        platform = FakePlatform()
+        for slot, address in enumerate(rows):
+            key = f'lagos/{slot}'
+            await platform.put_row('seeds', key, address.encode(), '')
+        state = state_of(ME, known)
+        gossip = Gossip(state, ConnectionPool(), random.Random(0))
+        met = []
+
+        async def exchange(address):
+            met.append(str(address))
+
+        with mock.patch.object(gossip, 'exchange', exchange):
+            await look_once(gossip, platform)
+        written = [content.decode() for content, _ in platform.rows.values()]
+        return written, met
+
+    return asyncio.run(scenario())
+
+
+def test_stale_seed_is_replaced():
+    """A row of a dead node becomes the keeper's; the living stay."""
+    dead = member(2, standing=Standing.DEAD)
+    rows = [OTHER.address, dead.address]
+    written, _ = seeds_after_look(rows, [OTHER, dead])
+    assert written == [OTHER.address, ME.address]
+
+
+def test_held_seeds_are_left_alone():
+    """Living seeds are not touched, and nothing is written."""
+    known = [member(number) for number in (1, 2, 3)]
+    rows = [each.address for each in known]
+    written, met = seeds_after_look(rows, known)
+    assert written == rows
+    assert not met
+
+
+def test_strangers_among_the_seeds_are_met():
+    """A seed that is not known is met, which joins groups apart."""
+    known = [member(number) for number in (1, 2)]
+    rows = [*(each.address for each in known), member(3).address]
+    _, met = seeds_after_look(rows, known)
+    assert met == [member(3).address]
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final, TypedDict
 
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Content, Request, Response, Router
 
 from carobmoor.burn import take_snapshots
 from carobmoor.explain import find_record, recent_bad
@@ -45,7 +45,7 @@
     start_leaving: Callable[[], None],
 ) -> Application:
     """Make the application that serves the control paths."""
-    app = Application(show_error_details=False)
+    app = Application(router=Router(), show_error_details=False)
     _route_reads(app, node)
     route_configuration(app, node)
     route_peers(app, node)
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+from collections.abc import Sequence
 from typing import Any, Final
 
 from carobmoor.client import Dispatcher, learn_service
@@ -40,7 +41,7 @@
 async def run_node(settings: Settings) -> None:
     """Run a node until it is told to stop and has left gracefully."""
     configure_logs(settings.get('log_level', 'info'))
-    node = _assemble(settings)
+    node = assemble(settings)
     leaving = asyncio.Event()
     server = make_server(
         _make_application(node, leaving),
@@ -60,12 +61,7 @@
 
 async def _serve(node: NodeState, server: Any, leaving: asyncio.Event) -> None:
     background = [
-        asyncio.create_task(node.configuration.run()),
-        asyncio.create_task(_join(node)),
-        asyncio.create_task(
-            keep_seeds(node.gossip, node.platform, random.Random()),
-        ),
-        asyncio.create_task(node.gossip.run()),
+        *start_control(node),
         asyncio.create_task(node.gate.watch()),
         asyncio.create_task(node.quarantine.spread.run()),
     ]
@@ -86,6 +82,18 @@
     node.pools.close()
 
 
+def start_control(node: NodeState) -> Sequence[asyncio.Task[None]]:
+    """Start the tasks by which a node knows of the others."""
+    rng = random.Random()
+    duties = (
+        node.configuration.run(),
+        _join(node),
+        keep_seeds(node.gossip, node.platform, rng),
+        node.gossip.run(),
+    )
+    return [asyncio.create_task(duty) for duty in duties]
+
+
 async def _leave(node: NodeState, leaving: asyncio.Event) -> None:
     """Refuse new work, tell the others, and wait for the running work."""
     await leaving.wait()
@@ -105,7 +113,8 @@
     await join(node.gossip, node.platform, peers, random.Random())
 
 
-def _assemble(settings: Settings) -> NodeState:
+def assemble(settings: Settings) -> NodeState:
+    """Make the parts of a node; nothing runs yet."""
     pools = make_pools(settings)
     place = settings['place']
     platform = Platform(
--- /dev/null
+++ b/carobmoor/platform/tests/fixtures.py
@@ -0,0 +1,99 @@
+"""A store in memory that misbehaves as told."""
+
+import asyncio
+import copy
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok
+
+from carobmoor.platform import Row, StoreFailure, StoreFault
+
+DOWN = StoreFailure(StoreFault.UNAVAILABLE, 'answer', 'store', 'down')
+
+
+def scripted(*outcomes: str) -> Callable[[str], Any]:
+    """Give the outcomes one after another, then `ok`."""
+    left = list(outcomes)
+
+    async def before(_: str) -> str:
+        return left.pop(0) if left else 'ok'
+
+    return before
+
+
+class FakePlatform:
+    """The store's calls over dictionaries.
+
+    `before` is awaited before each call and gives how it goes: `ok`, `down`,
+    `lost` (takes effect, no answer) or `stale` (an older read).
+    """
+
+    def __init__(self) -> None:
+        """Start empty and well."""
+        self.rows: dict[str, tuple[bytes, str]] = {}
+        self.older: list[dict[str, tuple[bytes, str]]] = [{}]
+        self.objects: dict[str, bytes] = {}
+        self.tags = 0
+        self.reads = 0
+        self.before: Callable[[str], Any] = _all_is_well
+
+    async def get_row(self, table: str, key: str):
+        """Read a row, perhaps as it was some writes ago."""
+        how = await self.before('read')
+        if how == 'down':
+            return Err(DOWN)
+        self.reads += 1
+        rows = self.older[-1] if how == 'stale' else self.rows
+        found = rows.get(f'{table}/{key}')
+        return Ok(None if found is None else Row(key, *found))
+
+    async def list_rows(self, table: str, prefix: str):
+        """List rows."""
+        if await self.before('read') == 'down':
+            return Err(DOWN)
+        start = f'{table}/{prefix}'
+        return Ok(
+            [
+                Row(key.removeprefix(f'{table}/'), *found)
+                for key, found in sorted(self.rows.items())
+                if key.startswith(start)
+            ],
+        )
+
+    async def put_row(self, table: str, key: str, content: bytes, etag: str):
+        """Write a row if its tag is as named."""
+        how = await self.before('write')
+        if how == 'down':
+            return Err(DOWN)
+        known = self.rows.get(f'{table}/{key}', (b'', ''))
+        if known[1] != etag:
+            fault = StoreFault.PRECONDITION
+            return Err(StoreFailure(fault, 'answer', 'store', '412'))
+        self.older.append(copy.copy(self.rows))
+        self.tags += 1
+        self.rows[f'{table}/{key}'] = (content, str(self.tags))
+        if how == 'lost':
+            return Err(DOWN)
+        return Ok(Row(key, content, str(self.tags)))
+
+    async def get_object(self, bucket: str, key: str):
+        """Read an object."""
+        if await self.before('read') == 'down':
+            return Err(DOWN)
+        if key not in self.objects:
+            fault = StoreFault.MISSING
+            return Err(StoreFailure(fault, 'answer', 'store', '404'))
+        return Ok(self.objects[key])
+
+    async def put_object(self, bucket: str, key: str, body: bytes):
+        """Write an object."""
+        if await self.before('write') == 'down':
+            return Err(DOWN)
+        self.objects[key] = body
+        return Ok(None)
+
+
+async def _all_is_well(_: str) -> str:
+    await asyncio.sleep(0)
+    return 'ok'
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -239,6 +239,17 @@
     async def _platform_answers(self) -> bool:
         return await self.ask(self.platform, 'GET', '/faults') is not None
 
+    def operators(self) -> Sequence[Mapping[str, Any]]:
+        """Give the operators that nodes know."""
+        digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+        return [
+            {
+                'name': 'stand-in-operator',
+                'token_sha256': digest,
+                'teams': ['*'],
+            },
+        ]
+
     def _settings_of(self, pair: Pair) -> Mapping[str, Any]:
         platform = self.platform._asdict()
         place = pair.place
@@ -252,15 +263,7 @@
             'backend_server': pair.backend_server._asdict(),
             'platform': {'table_service': platform, 'object_store': platform},
             'peers': [str(other.node) for other in self.pairs[:3]],
-            'operators': [
-                {
-                    'name': 'stand-in-operator',
-                    'token_sha256': hashlib.sha256(
-                        OPERATOR_TOKEN.encode(),
-                    ).hexdigest(),
-                    'teams': ['*'],
-                },
-            ],
+            'operators': self.operators(),
         }
 
 
