Join through nodes that the first contact names

Ruled out: sending fewer members (the library and the forwarding need all services' nodes); more seed rows (more store writes, and still a few).

Change: a contact names up to eight living nodes at random, of the asker's region if there are any; the members are fetched from one of them, and from the contact only when none answers.

A start of many nodes was not measured with this change yet.

--- a/carobmoor/membership/__init__.py
+++ b/carobmoor/membership/__init__.py
@@ -21,6 +21,7 @@
     SIGNATURE_HEADER,
     Peers,
     answer_digests,
+    answer_helpers,
     answer_members,
 )
 
@@ -34,6 +35,7 @@
     'Traffic',
     'Zone',
     'answer_digests',
+    'answer_helpers',
     'answer_members',
     'declare_self',
     'decode_members',
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -16,6 +16,7 @@
 from carobmoor.membership._messages import Member, Standing
 from carobmoor.membership._rendezvous import is_chosen
 from carobmoor.membership._state import MembershipState
+from carobmoor.membership._sync import ask_helpers
 from carobmoor.platform import Platform, Row, jitter
 from carobmoor.transport import Address, parse_address
 
@@ -25,6 +26,7 @@
 _JOIN_INTERVAL_S: Final = 0.5
 _MOST_JOIN_INTERVAL_S: Final = 10
 _LOOK_INTERVAL_S: Final = 10
+_HELPERS_TRIED: Final = 2
 
 
 async def join(
@@ -43,7 +45,7 @@
         if gossip.state.others():
             wait_s = _JOIN_INTERVAL_S
         else:
-            await _try_to_join(gossip, platform, peers)
+            await _try_to_join(gossip, platform, peers, rng)
             wait_s = min(2 * wait_s, _MOST_JOIN_INTERVAL_S)
         await asyncio.sleep(wait_s * jitter(rng))
 
@@ -78,19 +80,42 @@
     gossip: Gossip,
     platform: Platform,
     peers: Sequence[Address],
+    rng: random.Random,
 ) -> None:
-    met = await _meet_any(gossip, peers)
+    met = await _meet_any(gossip, peers, rng)
     rows = await _read_rows(platform)
     if met or rows is None:
         return
-    met = await _meet_any(gossip, [_seed_of(row) for row in rows])
+    met = await _meet_any(gossip, [_seed_of(row) for row in rows], rng)
     await _take_stale(gossip.state, platform, rows, is_alone=not met)
 
 
-async def _meet_any(gossip: Gossip, addresses: Sequence[Address]) -> bool:
+async def _meet_any(
+    gossip: Gossip,
+    addresses: Sequence[Address],
+    rng: random.Random,
+) -> bool:
     here = gossip.state.me.address
     for address in addresses:
-        if str(address) != here and await gossip.exchange(address):
+        if str(address) != here and await _join_through(gossip, address, rng):
+            return True
+    return False
+
+
+async def _join_through(
+    gossip: Gossip,
+    contact: Address,
+    rng: random.Random,
+) -> bool:
+    """Fetch the members from somebody whom the contact names, or from it."""
+    region = gossip.state.me.region
+    named = await ask_helpers(gossip.peers, contact, region)
+    if named is None:
+        return False
+    helpers = rng.sample(named, min(_HELPERS_TRIED, len(named)))
+    for address in (*helpers, contact):
+        is_other = str(address) != gossip.state.me.address
+        if is_other and await gossip.exchange(address):
             return True
     return False
 
--- a/carobmoor/membership/_sync.py
+++ b/carobmoor/membership/_sync.py
@@ -1,5 +1,6 @@
 """Anti-entropy over HTTP: compare digests, exchange what differs."""
 
+import random
 from collections.abc import Sequence
 from typing import Final
 
@@ -20,6 +21,7 @@
     Address,
     ConnectionPool,
     OutgoingRequest,
+    parse_address,
     request_json,
 )
 
@@ -27,6 +29,8 @@
 _TIMEOUT_S: Final = 5
 _DIGESTS_TARGET: Final = '/_carobmoor/gossip/digests'
 _MEMBERS_TARGET: Final = '/_carobmoor/gossip/members'
+_HELPERS_TARGET: Final = '/_carobmoor/gossip/helpers'
+_MOST_HELPERS: Final = 8
 _OK: Final = 200
 
 
@@ -63,6 +67,45 @@
         return told.ok_value.body
 
 
+async def ask_helpers(
+    peers: Peers,
+    address: Address,
+    region: str,
+) -> Sequence[Address] | None:
+    """Ask a node through whom to join; `None` when it does not answer."""
+    asked = msgspec.json.encode(region)
+    answered = await peers.post(address, _HELPERS_TARGET, asked)
+    if answered is None:
+        return None
+    try:
+        named = msgspec.json.decode(answered, type=list[str])
+    except msgspec.DecodeError:
+        return None
+    return [parse_address(each) for each in named]
+
+
+def answer_helpers(
+    state: MembershipState,
+    body: bytes,
+    rng: random.Random,
+) -> bytes:
+    """Name some living members, of the asker's region if there are any.
+
+    Nodes that start at once then don't all fetch the members from the same
+    few first contacts. Raises `msgspec.DecodeError`.
+    """
+    region = msgspec.json.decode(body, type=str)
+    living = [
+        member
+        for member in state.others()
+        if member.standing is Standing.ALIVE and state.is_reachable(member)
+    ]
+    near = [member for member in living if member.region == region]
+    named = near or living
+    chosen = rng.sample(named, min(_MOST_HELPERS, len(named)))
+    return msgspec.json.encode([member.address for member in chosen])
+
+
 async def synchronise(
     state: MembershipState,
     peers: Peers,
--- a/carobmoor/membership/tests/test_sync.py
+++ b/carobmoor/membership/tests/test_sync.py
@@ -13,9 +13,10 @@
 from carobmoor.membership._digest import bucket_of
 from carobmoor.membership._gossip import Gossip
 from carobmoor.membership._messages import Standing
-from carobmoor.membership._seeds import look_once
+from carobmoor.membership._seeds import _try_to_join, look_once
 from carobmoor.membership._sync import (
     answer_digests,
+    answer_helpers,
     answer_members,
     synchronise,
 )
@@ -186,3 +187,52 @@
     rows = [*(each.address for each in known), member(3).address]
     _, met = seeds_after_look(rows, known)
     assert met == [member(3).address]
+
+
+@params(('lagos', 2), ('abuja', 1), ('ibadan', 3))
+def test_helpers_are_of_the_region(region, count):
+    """Living members of the asker's region are named, else any."""
+    others = [
+        member(1),
+        member(2),
+        member(3, 'abuja-a'),
+        member(4, standing=Standing.DEAD),
+        member(5, standing=Standing.LEAVING),
+    ]
+    state = state_of(ME, others)
+    asked = msgspec.json.encode(region)
+    told = answer_helpers(state, asked, random.Random(0))
+    named = msgspec.json.decode(told)
+    assert len(named) == count
+    assert member(4).address not in named
+    assert member(5).address not in named
+    assert ME.address not in named
+
+
+@params(((), 'contact'), (('10.0.0.7:7000',), '10.0.0.7:7000'))
+def test_joining_goes_through_who_is_named(named, expected):
+    """A starting node fetches the members from whom its contact names."""
+
+    async def scenario():
+        gossip = Gossip(state_of(ME), ConnectionPool(), random.Random(0))
+        met = []
+
+        async def exchange(address):
+            met.append(str(address))
+            gossip.state.keep(OTHER, 0)
+            return True
+
+        async def post(address, target, body):
+            return msgspec.json.encode(named)
+
+        with (
+            mock.patch.object(gossip, 'exchange', exchange),
+            mock.patch.object(gossip.peers, 'post', post),
+        ):
+            await _try_to_join(
+                gossip, FakePlatform(), [THERE], random.Random(0)
+            )
+        return met
+
+    wanted = OTHER.address if expected == 'contact' else expected
+    assert asyncio.run(scenario()) == [wanted]
--- a/carobmoor/node/_peers.py
+++ b/carobmoor/node/_peers.py
@@ -1,5 +1,6 @@
 """The control paths that other nodes and the library use."""
 
+import random
 import time
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -19,6 +20,7 @@
     Member,
     Standing,
     answer_digests,
+    answer_helpers,
     answer_members,
     is_signed,
 )
@@ -45,6 +47,11 @@
     def digests(body: bytes) -> bytes:
         return answer_digests(node.gossip.state, body)
 
+    rng = random.Random()
+
+    def helpers(body: bytes) -> bytes:
+        return answer_helpers(node.gossip.state, body, rng)
+
     def gossip(body: bytes) -> bytes:
         return answer_members(node.gossip.state, body, time.monotonic())
 
@@ -60,6 +67,7 @@
     answers = {
         MARKS_TARGET: marks,
         f'{_PREFIX}/gossip/digests': digests,
+        f'{_PREFIX}/gossip/helpers': helpers,
         f'{_PREFIX}/gossip/members': gossip,
         SINCE_TARGET: since,
         PIECES_TARGET: pieces,
