--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,7 +18,6 @@
     {
         'admission': measure_admission,
         'floods': measure_floods,
-        'quarantine': measure_quarantine,
         'hop': measure_hop,
         'membership': measure_membership,
         'configuration': measure_configuration,
