Keep the slot of a request until its backend server lets go

Cause: scenarios frozen-backend, held-link and both floods showed more starts at once than slots: 10 on 4 slots after a pause of two seconds. A call that ran out of time closed its connection and gave its slot back at once, while the backend server still had the request. Crossed-answers gave 70 of 200 callers an answer not their own (the relay swapped the answers of two connections to one backend server).

Change: an exchange that is given up ends its sending side and waits, 10 s at most, for the peer to close; the slot comes back then. The caller is told at once. Where the backend server echoes the request id, the node checks it.

Ruled out: a wait for the peer before the caller is told (it would add to every time-out).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python
 SOURCES := carobmoor stand_ins bench demo tools tests proofs
 
-.PHONY: demo test check bench format lock clean
+.PHONY: demo test soak check bench format lock clean
 
 $(VENV)/ready: pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,13 @@
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
 
+# Every scenario, then random ones; SEEDS and FIRST choose how many and which.
+SEEDS ?= 20
+FIRST ?= 1
+soak: $(VENV)/ready
+	$(RUN) -m proofs run proofs/scenarios/*.json
+	$(RUN) -m proofs mix --seeds $(SEEDS) --first $(FIRST)
+
 bench: $(VENV)/ready
 	$(RUN) -m bench
 
--- a/carobmoor/configuration/_check.py
+++ b/carobmoor/configuration/_check.py
@@ -28,6 +28,8 @@
         return Ok(json5.loads(text))
     except ValueError as error:
         return Err((Fault('$', 'no JSON', str(error)),))
+    except RecursionError:
+        return Err((Fault('$', 'no JSON', 'nested too deep'),))
 
 
 def check_document(
--- /dev/null
+++ b/carobmoor/configuration/tests/test_fuzz_documents.py
@@ -0,0 +1,61 @@
+"""No document crashes the check; what passes can be put in force."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from carobmoor.configuration import (
+    admission_policy_of,
+    read_commented,
+    validate_document,
+)
+from stand_ins.deployment import read_example
+
+BOUNDED = settings(derandomize=True, max_examples=200, deadline=None)
+LEAVES = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=20)
+)
+JSON = st.recursive(
+    LEAVES,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=10), inner, max_size=3)
+    ),
+    max_leaves=10,
+)
+
+
+@BOUNDED
+@given(JSON)
+def test_any_value_is_judged(candidate):
+    """Faults are listed, each with its path."""
+    for fault in validate_document(candidate).unwrap_err():
+        assert fault.path.startswith('$')
+
+
+@BOUNDED
+@given(st.data())
+def test_a_changed_document_is_judged(drawn):
+    """One field of a good document replaced by anything."""
+    document = read_example('adeyemi')
+    place = drawn.draw(
+        st.sampled_from(
+            (document['ranks'][0], document['services']['media'], document),
+        ),
+    )
+    place[drawn.draw(st.sampled_from(sorted(place)))] = drawn.draw(JSON)
+    checked = validate_document(document)
+    if isinstance(checked, Ok):
+        for service in checked.ok_value['services']:
+            assert admission_policy_of(checked.ok_value, service).slots > 0
+
+
+@BOUNDED
+@given(st.text(max_size=60) | st.integers(0, 5000).map(lambda deep: '[' * deep))
+def test_any_text_is_read_or_refused(text):
+    """Text that is no JSON is a fault, however deep it nests."""
+    read_commented(text)
--- a/carobmoor/membership/_messages.py
+++ b/carobmoor/membership/_messages.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Sequence
-from typing import Final, NamedTuple
+from typing import Annotated, Final, NamedTuple
 
 import msgspec
 
@@ -23,11 +23,19 @@
     availability_zone: str
 
 
+_PART: Final = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
+_PORT: Final = r'(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]?\d{1,4})'
+# Nothing else reaches a socket or another node's memory.
+_ADDRESS: Final = msgspec.Meta(pattern=rf'^({_PART}\.){{3}}{_PART}:{_PORT}$')
+
+NodeAddress = Annotated[str, _ADDRESS]
+
+
 class Member(NamedTuple):
     """One node and the backend server beside it."""
 
     # Where the node listens, as `ip:port`; names the node.
-    address: str
+    address: NodeAddress
     service: str
     region: str
     availability_zone: str
@@ -61,7 +69,7 @@
     # Matches an answer to its probe; chosen by the prober.
     number: int
     # The sender as `ip:port`.
-    sender: str
+    sender: NodeAddress
     # The member to probe in an `ASK`, else empty.
     target: str
     # The configuration version in force at the sender.
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -1,5 +1,6 @@
 """The path of a request through a node."""
 
+import functools
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
@@ -35,6 +36,7 @@
     AnswerBroken,
     HeaderList,
     OutgoingRequest,
+    header_of,
     parse_address,
 )
 from carobmoor.transport import (
@@ -157,10 +159,31 @@
         is_typical = failure is None or exchange.left_s <= 0
     finally:
         exchange.served_s = time.monotonic() - started_s
-        node.gate.leave(entered.ok_value, exchange.served_s, is_typical)
+        give_back = functools.partial(
+            node.gate.leave,
+            entered.ok_value,
+            exchange.served_s,
+            is_typical,
+        )
+        _when_let_go(node, exchange, give_back)
     return failure
 
 
+def _when_let_go(
+    node: NodeState,
+    exchange: Exchange,
+    give_back: Callable[[], None],
+) -> None:
+    """Give a slot back when the backend server surely works no more on it."""
+    request = exchange.request
+    pool = node.pools.backend_server
+    lingering = None if request is None else pool.lingering(request)
+    if lingering is None:
+        give_back()
+    else:
+        lingering.when_gone(give_back)
+
+
 async def _run_for_caller(
     exchange: Exchange,
     running: Coroutine[Any, Any, Failure | None],
@@ -192,6 +215,7 @@
         exchange.body.rest,
     )
     begun_s = time.monotonic()
+    exchange.request = request
     sent = await send_request(
         node.pools.backend_server,
         node.backend_server,
@@ -202,13 +226,19 @@
     if isinstance(sent, Err):
         await note_lost(node, exchange, permit, sent.err_value)
         return _lost(exchange, failure_of(sent.err_value))
+    answer = sent.ok_value
+    echoed = header_of(answer.head.headers, REQUEST_ID_HEADER)
+    if echoed and echoed != context.request_id:
+        answer.abandon('answer of another request')
+        peer = str(node.backend_server)
+        return Unknown('awaiting_answer', peer, 'answer of another request')
     exchange.note('backend server', 'answered', str(node.backend_server))
     extra = (
         (REQUEST_ID_HEADER, context.request_id.encode()),
         *_own_headers(node, context),
     )
     try:
-        await relay_answer(exchange.send, sent.ok_value, extra, exchange.floor)
+        await relay_answer(exchange.send, answer, extra, exchange.floor)
     except AnswerBroken as broken:
         await note_lost(node, exchange, permit, broken.failure)
         raise
--- a/carobmoor/node/_exchange.py
+++ b/carobmoor/node/_exchange.py
@@ -9,7 +9,7 @@
 from carobmoor.node._context import RequestContext
 from carobmoor.node._relay import Send
 from carobmoor.node._watch import TRANSPORT_EXTENSION, above_floor
-from carobmoor.transport import HeaderList, ProgressFloor
+from carobmoor.transport import HeaderList, OutgoingRequest, ProgressFloor
 
 _MS_PER_S: Final = 1000
 _DEFAULT_DEADLINE_MS: Final = 10_000
@@ -45,6 +45,8 @@
         self.queued_s = float(0)
         self.is_forwarded = False
         self.served_s = float(0)
+        # What was sent to the backend server.
+        self.request: OutgoingRequest | None = None
         self.floor = _floor_of(declared)
         transport = scope['extensions'][TRANSPORT_EXTENSION]
         self.send = above_floor(send, transport, self.floor)
--- /dev/null
+++ b/carobmoor/node/tests/test_fuzz_headers.py
@@ -0,0 +1,62 @@
+"""No headers of a request crash the node's reading of them."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from carobmoor.client import (
+    CALLER_HEADER,
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    OWNER_HEADER,
+    RANK_HEADER,
+    REQUEST_ID_HEADER,
+    SERVICE_HEADER,
+)
+from carobmoor.node._context import read_context
+from carobmoor.outcomes import Code
+from carobmoor.tickets import TICKET_HEADER
+
+NAMES = (
+    CALLER_HEADER,
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    OWNER_HEADER,
+    RANK_HEADER,
+    REQUEST_ID_HEADER,
+    SERVICE_HEADER,
+    TICKET_HEADER,
+    b'content-length',
+    b'transfer-encoding',
+)
+CONTENTS = st.one_of(
+    st.binary(max_size=200),
+    st.integers().map(lambda number: str(number).encode()),
+    st.text(max_size=200).map(str.encode),
+    st.sampled_from((b'', b'[]', b'["a","b",1,0,"c"]', b'9' * 5000)),
+)
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(
+    st.lists(st.tuples(st.sampled_from(NAMES), CONTENTS), max_size=8),
+    st.binary(max_size=40),
+    st.binary(max_size=40),
+)
+def test_headers_are_read_or_refused(headers, path, query):
+    """What can be read is bounded, and the rest is a bad request."""
+    scope = {
+        'headers': headers,
+        'raw_path': path,
+        'query_string': query,
+        'method': 'POST',
+    }
+    told = read_context(scope, 'here:1')
+    if isinstance(told, Ok):
+        context = told.ok_value
+        assert len(context.request_id) <= 128
+        assert len(context.service) <= 128
+        assert 0 <= context.depth <= 64
+        assert 0 <= context.deadline_ms <= 86_400_000
+    else:
+        assert told.err_value.code in {Code.BAD_REQUEST, Code.TICKET_REFUSED}
--- /dev/null
+++ b/carobmoor/outcomes/tests/test_fuzz_failures.py
@@ -0,0 +1,62 @@
+"""No body of a refusal is taken for more than it proves."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobmoor.outcomes import (
+    Code,
+    NotRun,
+    Unknown,
+    decode_failure,
+    encode_failure,
+)
+
+BOUNDED = settings(derandomize=True, max_examples=300, deadline=None)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(
+                ('outcome', 'code', 'step', 'peer', 'detail', 'request_id'),
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@BOUNDED
+@given(st.binary(max_size=200) | JSON.map(lambda told: repr(told).encode()))
+def test_unreadable_is_unknown(body):
+    """Anything that is no whole refusal leaves the outcome unknown."""
+    assert isinstance(decode_failure(body, 'id', 'peer'), Unknown)
+
+
+@BOUNDED
+@given(
+    st.sampled_from(Code),
+    st.text(max_size=20),
+    st.text(max_size=20),
+    st.text(max_size=20),
+)
+def test_only_the_own_refusal_proves_not_run(code, step, asked, echoed):
+    """A refusal of another request proves nothing about this one.
+
+    A leaving node's, said on an idle connection, names none.
+    """
+    body = encode_failure(NotRun(code, step, 'peer'), echoed)
+    told = decode_failure(body, asked, 'peer')
+    is_own = asked == echoed or (not echoed and code is Code.LEAVING)
+    assert isinstance(told, NotRun) == is_own
+
+
+@BOUNDED
+@given(st.integers(0, 200))
+def test_a_cut_refusal_is_unknown(length):
+    """A refusal that lost its end proves nothing."""
+    body = encode_failure(NotRun(Code.LEAVING, 'admission', 'peer'), 'id')
+    if length < len(body):
+        assert isinstance(decode_failure(body[:length], 'id', 'p'), Unknown)
--- a/carobmoor/routing/_messages.py
+++ b/carobmoor/routing/_messages.py
@@ -89,6 +89,7 @@
     if not content:
         return None
     try:
-        return _decoder.decode(content)
+        report = _decoder.decode(content)
     except msgspec.DecodeError:
         return None
+    return report if report.slots > 0 else None
--- /dev/null
+++ b/carobmoor/routing/tests/test_fuzz_reports.py
@@ -0,0 +1,42 @@
+"""No load report of a peer crashes the choice."""
+
+import random
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobmoor.routing import (
+    Candidate,
+    RoutingState,
+    choose,
+    decode_report,
+    keep_candidates,
+    note_report,
+)
+from carobmoor.transport import Address
+
+NUMBERS = st.integers(-(2**63), 2**63 - 1) | st.integers(-2, 2)
+REPORTS = st.tuples(NUMBERS, NUMBERS, NUMBERS, NUMBERS, st.booleans())
+CANDIDATES = [
+    Candidate(Address('10.0.0.1', port), 'lagos', 'lagos-a') for port in (1, 2)
+]
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.text(max_size=80)
+    | REPORTS.map(lambda report: msgspec.json.encode(report).decode()),
+)
+def test_any_report_leaves_a_choice(content):
+    """What can't be a report is dropped, and an owner is still chosen."""
+    state = RoutingState('lagos', 'lagos-a')
+    keep_candidates(state, 'bookings', CANDIDATES)
+    report = decode_report(content)
+    for known in state.of('bookings'):
+        if report is not None:
+            assert report.slots > 0
+            note_report(known, report, 1)
+    chosen = choose(state, 'bookings', (), 1, random.Random(1))
+    is_leaving = report is not None and report.is_leaving
+    assert (chosen is None) == is_leaving
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -3,15 +3,18 @@
 import asyncio
 import select
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 import httptools
 
-from carobmoor.transport._messages import AnswerHead
+from carobmoor.transport._messages import AnswerHead, OutgoingRequest
 from carobmoor.transport._steps import Step
 
 _PAUSE_READING_BYTES: Final = 262144
 _MOST_HEAD_BYTES: Final = 262144
+# How long an abandoned exchange waits for the peer's close.
+_LINGER_S: Final = 10
 _LAST_INFORMATIONAL_STATUS: Final = 199
 
 
@@ -31,6 +34,7 @@
         self.ended = False
         self.request_cut_short = False
         self.lost_reason = ''
+        self.request: OutgoingRequest | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser
         self._headers: list[tuple[bytes, bytes]] = []
@@ -41,6 +45,8 @@
         self._peer_keeps_alive = False
         self._head_bytes = 0
         self._is_bodiless = False
+        self._is_abandoned = False
+        self._when_gone: Callable[[], None] | None = None
         self._writable: asyncio.Future[None] | None = None
         self._waiter: asyncio.Future[None] | None = None
 
@@ -48,7 +54,17 @@
     def is_open(self) -> bool:
         """Whether bytes can still be written."""
         transport = self._transport
-        return transport is not None and not transport.is_closing()
+        if transport is None or self._is_abandoned:
+            return False
+        return not transport.is_closing()
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the peer may still work on an abandoned exchange."""
+        transport = self._transport
+        return self._is_abandoned and not (
+            transport is None or transport.is_closing()
+        )
 
     @property
     def has_news(self) -> bool:
@@ -83,6 +99,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Feed the parser; bytes without an exchange close the connection."""
+        if self._is_abandoned:
+            return
         if self.ended or self.step is Step.BEFORE_FIRST_BYTE:
             self.close('bytes without a request')
             return
@@ -99,8 +117,9 @@
         if not self.lost_reason:
             self.lost_reason = str(error or 'connection closed by the peer')
         self._wake()
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
+        self.resume_writing()
+        if self._when_gone is not None:
+            self._when_gone()
 
     def pause_writing(self) -> None:
         """Hold back whoever writes a body until the peer takes it."""
@@ -215,13 +234,37 @@
             if self._head_bytes > _MOST_HEAD_BYTES:
                 self.close('the head of the answer is too large')
 
+    def abandon(self, reason: str) -> None:
+        """Stop an exchange and leave it to the peer to close.
+
+        The peer sees the end of what is sent, which cancels the request at a
+        server that watches for it; its close tells that it does no more work
+        on it. A connection that can't be closed one way is closed at once.
+        """
+        transport = self._transport
+        if transport is None or not self.is_open:
+            return
+        if not transport.can_write_eof() or self._is_writing:
+            self.close(reason)
+            return
+        self.lost_reason = self.lost_reason or reason
+        self._is_abandoned = True
+        transport.write_eof()
+        self._resume_reading()
+        asyncio.get_running_loop().call_later(_LINGER_S, transport.abort)
+        self._wake()
+
+    def when_gone(self, callback: Callable[[], None]) -> None:
+        """Call back once the peer has closed, within a bound."""
+        self._when_gone = callback
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._reading_paused:
             self._transport.pause_reading()
             self._reading_paused = True
 
     def _resume_reading(self) -> None:
-        if self._transport is not None and self.is_open:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
         self._reading_paused = False
 
--- a/carobmoor/transport/_exchange.py
+++ b/carobmoor/transport/_exchange.py
@@ -69,7 +69,8 @@
             while chunk := await _next_chunk(connection, meter):
                 yield chunk
         except BaseException as error:
-            connection.close(f'not read further: {type(error).__name__}')
+            reason = f'not read further: {type(error).__name__}'
+            self._pool.abandon(connection, reason)
             raise
         if not connection.ended:
             raise AnswerBroken(
@@ -79,7 +80,7 @@
 
     def abandon(self, reason: str) -> None:
         """Close the connection of an answer that nobody reads further."""
-        self._connection.close(reason)
+        self._pool.abandon(self._connection, reason)
 
 
 async def send(
@@ -101,6 +102,7 @@
     if isinstance(acquired, Err):
         return acquired
     connection = acquired.ok_value
+    connection.request = request
     timeout_s -= time.monotonic() - started_s
     if request.method == 'HEAD':
         connection.expect_no_body()
@@ -108,10 +110,10 @@
         async with asyncio.timeout(timeout_s):
             head = await _exchange_head(connection, request)
     except TimeoutError:
-        connection.close('no answer in time')
+        pool.abandon(connection, 'no answer in time')
         return Err(_failure(connection, connection.step))
     except BaseException as error:
-        connection.close(f'cancelled: {type(error).__name__}')
+        pool.abandon(connection, f'cancelled: {type(error).__name__}')
         raise
     if head is None:
         return Err(_failure(connection, connection.step))
--- a/carobmoor/transport/_pool.py
+++ b/carobmoor/transport/_pool.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from carobmoor.transport._connection import Connection
-from carobmoor.transport._messages import Address
+from carobmoor.transport._messages import Address, OutgoingRequest
 from carobmoor.transport._steps import CallFailure, Step
 
 _IDLE_LIFETIME_S: Final = 20
@@ -27,6 +27,8 @@
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
         """Make an empty pool; with `tls` every connection is encrypted."""
         self._tls = tls
+        # Abandoned connections that their peers have not closed yet.
+        self._lingering: set[Connection] = set()
         self._idle: defaultdict[Address, deque[Connection]] = defaultdict(deque)
 
     async def acquire(
@@ -50,6 +52,22 @@
         connection.idle_since_s = _now_s()
         idle.append(connection)
 
+    def abandon(self, connection: Connection, reason: str) -> None:
+        """Stop the exchange of a connection that is not used again."""
+        connection.abandon(reason)
+        if connection.is_lingering:
+            self._lingering.add(connection)
+            self._lingering = {
+                known for known in self._lingering if known.is_lingering
+            }
+
+    def lingering(self, request: OutgoingRequest) -> Connection | None:
+        """Give the connection whose peer may still work on a request."""
+        for connection in self._lingering:
+            if connection.request is request and connection.is_lingering:
+                return connection
+        return None
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to a peer that is leaving or gone."""
         for connection in self._idle.pop(address, ()):
@@ -59,6 +77,8 @@
         """Close every idle connection."""
         for address in tuple(self._idle):
             self.forget(address)
+        for connection in self._lingering:
+            connection.close('pool closed')
 
     def _take_idle(self, address: Address) -> Connection | None:
         idle = self._idle.get(address)
--- /dev/null
+++ b/proofs/__main__.py
@@ -0,0 +1,111 @@
+"""The command line: `run FILES`, `mix`, `check FILES`; non-zero on a breach."""
+
+import asyncio
+import json
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import fire
+from result import Err
+
+from carobmoor.history import encode_event
+from proofs._checker import check as check_history
+from proofs._language import Scenario, load_scenario
+from proofs._messages import Bounds, Breach
+from proofs._mix import Block, draw_blocks, scenario_of, shrink
+from proofs._play import Outcome, play
+from proofs._read import read_histories
+
+
+def run(*paths: str) -> None:
+    """Play scenarios, one after the other.
+
+    Args:
+        paths: The scenarios' files.
+    """
+    broken = [path for path in paths if not _run_one(Path(path))]
+    sys.exit(1 if broken else 0)
+
+
+def mix(seeds: int = 10, first: int = 1) -> None:
+    """Play random scenarios; of one that breaks, print the shortest.
+
+    Args:
+        seeds: How many scenarios.
+        first: The seed of the first one.
+    """
+    broken = [
+        seed for seed in range(first, first + seeds) if not _mix_one(seed)
+    ]
+    sys.stdout.write(f'{seeds} mixes from seed {first}, broken: {broken}\n')
+    sys.exit(1 if broken else 0)
+
+
+def check(*paths: str) -> None:
+    """Judge histories by the promises, without limits on slots.
+
+    Args:
+        paths: The files that the processes of one machine wrote.
+    """
+    breaches = check_history(read_histories(map(Path, paths)), Bounds())
+    for breach in breaches:
+        _print_breach(breach)
+    sys.exit(1 if breaches else 0)
+
+
+def _run_one(path: Path) -> bool:
+    loaded = load_scenario(path)
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            sys.stderr.write(f'{fault}\n')
+        return False
+    scenario: Scenario = loaded.ok_value
+    outcome = asyncio.run(play(scenario))
+    print_outcome(f'{path}: {scenario["promise"]}', outcome)
+    return not outcome.breaches
+
+
+def _mix_one(seed: int) -> bool:
+    blocks = draw_blocks(seed)
+    outcome = asyncio.run(play(scenario_of(blocks, seed)))
+    print_outcome(f'mix of seed {seed}', outcome)
+    if not outcome.breaches:
+        return True
+    found = [outcome]
+    rules = {breach.rule for breach in outcome.breaches}
+
+    async def breaks(fewer: Sequence[Block]) -> bool:
+        again = await play(scenario_of(fewer, seed))
+        if not rules & {breach.rule for breach in again.breaches}:
+            return False
+        found.append(again)
+        return True
+
+    shortest = asyncio.run(shrink(blocks, breaks))
+    print_outcome(f'shortest of seed {seed}', found[-1])
+    for block in shortest:
+        for step in block:
+            sys.stdout.write(f'  {json.dumps(step)}\n')
+    return False
+
+
+def print_outcome(title: str, outcome: Outcome) -> None:
+    """Print what became of a scenario."""
+    verdict = 'BROKEN' if outcome.breaches else 'held'
+    sys.stdout.write(f'{verdict}: {title}\n')
+    for rank, counted in sorted(outcome.outcomes.items()):
+        told = ', '.join(f'{count} {end}' for end, count in counted.items())
+        sys.stdout.write(f'  {rank}: {told}\n')
+    for breach in outcome.breaches:
+        _print_breach(breach)
+
+
+def _print_breach(breach: Breach) -> None:
+    sys.stdout.write(f'  {breach.rule}: {breach.detail}\n')
+    for event in breach.events:
+        sys.stdout.write(f'    {encode_event(event).decode()}')
+
+
+if __name__ == '__main__':
+    fire.Fire({'run': run, 'mix': mix, 'check': check}, name='proofs')
--- /dev/null
+++ b/proofs/_flood.py
@@ -0,0 +1,119 @@
+"""Sending the calls of a scenario."""
+
+import asyncio
+import random
+from collections import Counter, defaultdict
+from collections.abc import AsyncIterator
+from typing import Final
+
+from result import Result
+
+from carobmoor import Call, CallAnswer, Client, Failure, Unknown
+from proofs._language import FloodStep
+
+_DEFAULT_RATE: Final = 200
+_DEFAULT_TIMEOUT_MS: Final = 2000
+_STALL_S: Final = 3600
+
+Called = Result[CallAnswer, Failure]
+
+
+class Callers:
+    """The calls on their way, and by rank how those before ended."""
+
+    def __init__(self, client: Client, rng: random.Random) -> None:
+        """Send through one client; the source draws ids and bodies."""
+        self.outcomes: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        self._client = client
+        self._rng = rng
+        self._pending: set[asyncio.Task[None]] = set()
+        self._floods = 0
+
+    def start(self, flood: FloodStep) -> None:
+        """Start to send a flood in the background."""
+        self._floods += 1
+        self._spawn(self._send_all(flood, f'flood-{self._floods}'))
+
+    async def join(self) -> None:
+        """Wait until every call has ended."""
+        while self._pending:
+            await asyncio.gather(*self._pending)
+
+    def cancel(self) -> None:
+        """Send no more."""
+        for task in self._pending:
+            task.cancel()
+
+    def _spawn(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(work)
+        self._pending.add(task)
+        task.add_done_callback(self._pending.discard)
+
+    async def _send_all(self, flood: FloodStep, name: str) -> None:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        rate = flood.get('rate', _DEFAULT_RATE)
+        for number in range(flood['calls']):
+            await asyncio.sleep(begun_s + number / rate - loop.time())
+            self._spawn(self._send(flood, f'{name}-{number}'))
+
+    async def _send(self, flood: FloodStep, request_id: str) -> None:
+        call = self._call_of(flood, request_id)
+        called = await self._send_copies(call, flood.get('copies', 1))
+        self._count(flood, called)
+        for again in range(flood.get('resends', 0)):
+            if called.is_ok() or not isinstance(called.unwrap_err(), Unknown):
+                return
+            call = self._call_of(flood, f'{request_id}-again-{again}')
+            called = await self._client.call(call)
+            self._count(flood, called)
+
+    async def _send_copies(self, call: Call, copies: int) -> Called:
+        if copies == 1:
+            return await self._client.call(call)
+        minted = await self._client.dispatcher.mint_for(
+            call.service,
+            call.request_id,
+        )
+        if minted.is_ok():
+            call = call._replace(ticket=minted.unwrap())
+        told = await asyncio.gather(
+            *(self._client.call(call) for _ in range(copies)),
+        )
+        return told[0]
+
+    def _call_of(self, flood: FloodStep, request_id: str) -> Call:
+        crashes = flood.get('crashes', False)
+        if crashes:
+            request_id = f'crash-{request_id}'
+        body = self._rng.randbytes(flood.get('body_bytes', 64))
+        headers: list[tuple[bytes, bytes]] = []
+        if 'service_ms' in flood:
+            headers.append((b'x-service-ms', b'%d' % flood['service_ms']))
+        if crashes:
+            headers.append((b'x-crash', b'1'))
+        stalls = flood.get('stalls', False)
+        return Call(
+            flood['service'],
+            'GET' if flood.get('repeatable', False) else 'POST',
+            '/proof',
+            b'' if stalls else body,
+            _stall(body) if stalls else None,
+            headers,
+            rank=flood['rank'],
+            timeout_ms=flood.get('timeout_ms', _DEFAULT_TIMEOUT_MS),
+            repeatable=flood.get('repeatable', False),
+            request_id=request_id,
+        )
+
+    def _count(self, flood: FloodStep, called: Called) -> None:
+        outcome = 'answered'
+        if called.is_err():
+            is_unknown = isinstance(called.unwrap_err(), Unknown)
+            outcome = 'unknown' if is_unknown else 'not run'
+        self.outcomes[flood['rank']][outcome] += 1
+
+
+async def _stall(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+    await asyncio.sleep(_STALL_S)
--- a/proofs/_processes.py
+++ b/proofs/_processes.py
@@ -168,7 +168,7 @@
         event
         for event in history
         if (event.process == node and event.kind in told)
-        or (event.subject in {node, 'all'} and event.kind in done)
+        or (event.subject == node and event.kind in done)
     ]
 
 
--- /dev/null
+++ b/proofs/tests/test_language.py
@@ -0,0 +1,65 @@
+"""A faulty scenario is told with its file, line and step."""
+
+import asyncio
+from pathlib import Path
+
+from nose2.tools import params
+
+from proofs._language import load_scenario, parse_scenario
+from proofs._mix import draw_blocks, scenario_of, shrink
+
+FOLDER = Path(__file__).parent.parent / 'scenarios'
+TEXT = """// A comment.
+{
+  "promise": "p", "deployment": "adeyemi",
+  "places": [{"service": "bookings"}],
+  "steps": [
+    {"do": "join"},
+    STEP
+  ]
+}
+"""
+
+
+@params(
+    ('{"do": "explode"}', 's.json:7 step 2'),
+    ('{"do": "kill"}', 's.json:7 step 2.kill.process'),
+    ('{"do": "kill", "process": "x"}', 's.json:7 step 2.kill.process'),
+    ('{"do": "wait", "for_ms": -1}', 's.json:7 step 2.wait.for_ms'),
+    ('{"do": "wait", "for_s": 1}', 's.json:7 step 2.wait'),
+    ('{"do": ', 's.json $'),
+)
+def test_faults_name_file_line_and_step(step, where):
+    """Each fault stands where an editor finds it."""
+    told = parse_scenario(TEXT.replace('STEP', step), 's.json').unwrap_err()
+    assert str(told[0]).startswith(where), told
+
+
+def test_every_scenario_is_valid():
+    """The scenarios of the repository have no fault."""
+    files = sorted(FOLDER.glob('*.json'))
+    assert files
+    for path in files:
+        assert load_scenario(path).is_ok(), load_scenario(path)
+
+
+def test_mix_depends_on_its_seed_alone():
+    """A printed seed gives the same scenario again, and a valid one."""
+    for seed in range(50):
+        drawn = draw_blocks(seed)
+        assert drawn == draw_blocks(seed)
+        text = str(scenario_of(drawn, seed)).replace('True', 'true')
+        told = parse_scenario(text.replace('False', 'false'), 'mix')
+        assert told.is_ok(), told
+
+
+def test_shrinking_leaves_what_breaks():
+    """Only the failures without which all holds are left."""
+    blocks = [({'do': name},) for name in 'abcde']
+
+    async def breaks(fewer) -> bool:
+        names = {step['do'] for block in fewer for step in block}
+        return names >= {'b', 'd'}
+
+    left = asyncio.run(shrink(blocks, breaks))
+    assert left == [({'do': 'b'},), ({'do': 'd'},)]
--- /dev/null
+++ b/proofs/tests/test_scenarios.py
@@ -0,0 +1,36 @@
+"""A fixed small set of scenarios; `make soak` plays the others too."""
+
+import asyncio
+from pathlib import Path
+
+from nose2.tools import params
+
+from proofs._language import load_scenario
+from proofs._play import play
+
+FOLDER = Path(__file__).parent.parent / 'scenarios'
+SMALL_SET = (
+    'planned-stop',
+    'killed-node',
+    'frozen-backend',
+    'lost-answers',
+    'short-answers',
+    'crossed-answers',
+    'store-lost-answers',
+    'racing-operators',
+    'restarted-node',
+    'stalled-uploads',
+    'crash-request',
+    'flood-of-the-urgent',
+    'pair-copies-kill',
+    'pair-freeze-publish',
+)
+
+
+@params(*SMALL_SET)
+def test_promise_holds(name):
+    """The history of the scenario breaks no promise."""
+    scenario = load_scenario(FOLDER / f'{name}.json').unwrap()
+    outcome = asyncio.run(play(scenario))
+    told = [(breach.rule, breach.detail) for breach in outcome.breaches]
+    assert told == [], (told, dict(outcome.outcomes))
--- a/stand_ins/backend_server.py
+++ b/stand_ins/backend_server.py
@@ -174,7 +174,7 @@
         asked=asked,
         digest=xxhash.xxh64_hexdigest(body),
     )
-    await _answer(send, status, body)
+    await _answer(send, status, body, request_id)
 
 
 async def _digest_of(receive: Any) -> tuple[str, int, str]:
@@ -198,8 +198,16 @@
         message = await receive()
 
 
-async def _answer(send: Any, status: int, body: bytes) -> None:
-    headers = [(b'content-length', str(len(body)).encode())]
+async def _answer(
+    send: Any,
+    status: int,
+    body: bytes,
+    request_id: str = '',
+) -> None:
+    headers = [
+        (b'content-length', str(len(body)).encode()),
+        (_REQUEST_ID_HEADER, request_id.encode()),
+    ]
     await send(
         {'type': 'http.response.start', 'status': status, 'headers': headers},
     )
@@ -258,9 +266,10 @@
     slots: int = 9,
     service_ms: float = 5,
     history_path: str = '',
+    history_name: str = '',
 ) -> None:
     """Serve until stopped; SIGTERM ends the running requests first."""
-    record = make_recorder(history_path, f'{ip}:{port}')
+    record = make_recorder(history_path, history_name or f'{ip}:{port}')
     backend = Backend(name, slots, service_ms, record)
     uvicorn.run(
         make_application(backend),
--- /dev/null
+++ b/tests/test_fuzz_node.py
@@ -0,0 +1,129 @@
+"""A node that gets nonsense on every door keeps serving."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+from pathlib import Path
+
+from carobmoor import Call
+from stand_ins.deployment import Deployment, Place
+from tests.fixtures import asynchronous, client_of, running
+
+PLACE = Place('payments', 'lagos', 'lagos-a')
+ROUNDS = 150
+MOST_GROWTH_KB = 65536
+SPEECH = (
+    b'POST /x HTTP/1.1\r\nhost: a\r\n',
+    b'GET /_carobmoor/status HTTP/1.1\r\n',
+    b'PUT /_carobmoor/configuration HTTP/1.1\r\n',
+    b'POST /_carobmoor/tickets HTTP/1.1\r\n',
+    b'x-carobmoor-service: none\r\n',
+    b'x-carobmoor-deadline-ms: 99999999999999999999\r\n',
+    b'x-carobmoor-ticket: ["a","b",1,0,"c"]\r\n',
+    b'content-length: 5\r\n',
+    b'transfer-encoding: chunked\r\n',
+    b'\r\n',
+    b'ffffffffffffffffff\r\n',
+    b'[' * 3000,
+    b'\x00' * 100,
+)
+
+
+@asynchronous
+async def test_nonsense_on_every_door():
+    """Nothing is run, memory is bounded, and the next call is answered."""
+    rng = random.Random(1)
+    async with running(PLACE) as deployment:
+        before_kb = resident_kb(deployment)
+        for _ in range(ROUNDS):
+            await speak(deployment, nonsense(rng))
+            tell(deployment, nonsense(rng))
+            tell(deployment, datagram(rng))
+        told = await deployment.ask(
+            deployment.pairs[0].backend_server,
+            'GET',
+            '/_backend/starts',
+        )
+        assert told['starts'] == {}
+        async with client_of(deployment) as client:
+            called = await client.call(Call('payments', 'POST', '/x', b'x'))
+        assert called.is_ok(), called
+        assert resident_kb(deployment) - before_kb < MOST_GROWTH_KB
+
+
+@asynchronous
+async def test_nonsense_from_an_operator():
+    """A submitted document of any kind is refused with its faults."""
+    async with running(PLACE) as deployment:
+        node = deployment.pairs[0].node
+        target = '/_carobmoor/configuration'
+        deep = b'{"base_version":1,"reason":"x","document":%b}'
+        for body in (
+            b'',
+            b'[]',
+            deep % (b'[' * 20_000),
+            deep % (b'[' * 20_000 + b']' * 20_000),
+            deep % b'{"ranks":[],"services":{}}',
+            deep % b'null',
+        ):
+            told = await deployment.ask(node, 'PUT', target, body)
+            assert 'code' in told or 'faults' in told, told
+        status = await deployment.ask(node, 'GET', '/_carobmoor/status')
+    assert status['configuration_version'] == 1
+
+
+def nonsense(rng: random.Random) -> bytes:
+    """Put together what a node may hear, in no order, some of it noise."""
+    parts = [rng.choice(SPEECH) for _ in range(rng.randint(1, 6))]
+    parts.insert(rng.randint(0, len(parts)), rng.randbytes(rng.randint(0, 40)))
+    return b''.join(parts)
+
+
+def datagram(rng: random.Random) -> bytes:
+    """Write a datagram of the right shape with wrong content."""
+    strange = ('', 'x', '10.0.0.1', '10.0.0.1:x', '10.0.0.1:70000', 'é:1')
+    member = [
+        rng.choice(strange),
+        'payments',
+        rng.choice(strange),
+        '',
+        rng.randint(-5, 2**62),
+        rng.randint(0, 4),
+    ]
+    told = [
+        rng.randint(0, 5),
+        rng.randint(-1, 9),
+        rng.choice(strange),
+        rng.choice(strange),
+        rng.randint(-1, 3),
+        [member],
+    ]
+    return json.dumps(told).encode()
+
+
+def tell(deployment: Deployment, sealed: bytes) -> None:
+    """Send a datagram to the node."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(sealed[:60_000], deployment.pairs[0].node)
+
+
+async def speak(deployment: Deployment, sent: bytes) -> None:
+    """Send bytes to the node, end, and read what it has to say."""
+    reader, writer = await asyncio.open_connection(*deployment.pairs[0].node)
+    with contextlib.suppress(ConnectionError):
+        writer.write(sent)
+        writer.write_eof()
+        await reader.read()
+    writer.close()
+
+
+def resident_kb(deployment: Deployment) -> int:
+    """Tell the memory of the node."""
+    pid = deployment.processes[f'node {deployment.pairs[0].name}'].pid
+    status = Path(f'/proc/{pid}/status').read_text(encoding='ascii')
+    line = next(
+        line for line in status.splitlines() if line.startswith('VmRSS:')
+    )
+    return int(line.split()[1])
