--- a/carobmoor/node/_configure.py
+++ b/carobmoor/node/_configure.py
@@ -105,7 +105,7 @@
 async def _put(node: NodeState, operator: Operator, body: bytes) -> Response:
     try:
         submitted = msgspec.json.decode(body, type=PutDocument)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return refuse(node, Code.BAD_REQUEST, str(error))
     found = await _candidate(node, submitted)
     if isinstance(found, Err):
--- /dev/null
+++ b/carobmoor/transport/tests/test_fuzz_answers.py
@@ -0,0 +1,86 @@
+"""No bytes of a peer crash a connection or pass for a whole answer."""
+
+import asyncio
+from unittest.mock import MagicMock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobmoor.transport import Connection, Step
+
+WHOLE = (
+    b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx: y\r\n\r\nwhole',
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+    b'2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n',
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n',
+)
+BOUNDED = settings(derandomize=True, max_examples=300, deadline=None)
+FRAGMENTS = st.one_of(
+    st.binary(max_size=64),
+    st.sampled_from(
+        (
+            b'HTTP/1.1 200 OK\r\n',
+            b'HTTP/1.1 101 Up\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+            b'content-length: 3\r\n',
+            b'content-length: 99999999999999999999\r\n',
+            b'transfer-encoding: chunked\r\n',
+            b'\r\n',
+            b'3\r\nabc\r\n',
+            b'0\r\n\r\n',
+            *WHOLE,
+        ),
+    ),
+)
+
+
+def connected() -> tuple[Connection, MagicMock]:
+    """Make a connection on which one request was written."""
+    connection = Connection('peer')
+    transport = MagicMock()
+    transport.is_closing.return_value = False
+    transport.get_write_buffer_size.return_value = 0
+    transport.abort.side_effect = lambda: setattr(
+        transport.is_closing,
+        'return_value',
+        True,
+    )
+    connection.connection_made(transport)
+    connection.begin()
+    connection.write(b'GET / HTTP/1.1\r\n\r\n', Step.AWAITING_ANSWER)
+    return connection, transport
+
+
+@BOUNDED
+@given(st.lists(FRAGMENTS, max_size=12))
+def test_no_bytes_raise(fragments):
+    """Whatever comes is taken in, or closes the connection."""
+    connection, transport = connected()
+    for fragment in fragments:
+        if not transport.is_closing():
+            connection.data_received(fragment)
+
+
+@BOUNDED
+@given(st.sampled_from(WHOLE), st.data())
+def test_a_part_is_never_whole(answer, drawn):
+    """Only the last byte ends an answer, however the bytes arrive."""
+    cuts = drawn.draw(st.lists(st.integers(0, len(answer)), max_size=5))
+    connection, _ = connected()
+    edges = sorted({0, *cuts, len(answer)})
+    for start, end in zip(edges, edges[1:], strict=False):
+        assert not connection.ended
+        connection.data_received(answer[start:end])
+    assert connection.ended
+    body = b''.join(iter(lambda: asyncio.run(connection.read_chunk()), b''))
+    assert body == (b'' if b'204' in answer else b'whole')
+    assert connection.reusable
+
+
+@BOUNDED
+@given(st.binary(min_size=1, max_size=32), st.sampled_from(WHOLE))
+def test_bytes_after_an_answer_end_the_connection(surplus, answer):
+    """No later request can meet what came too much."""
+    connection, _ = connected()
+    connection.data_received(answer)
+    connection.data_received(surplus)
+    assert not connection.reusable
