--- a/proofs/_flood.py
+++ b/proofs/_flood.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter, defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Final
 
 from result import Result
@@ -64,7 +64,7 @@
         for again in range(flood.get('resends', 0)):
             if called.is_ok() or not isinstance(called.unwrap_err(), Unknown):
                 return
-            call = self._call_of(flood, f'{request_id}-again-{again}')
+            call = call._replace(request_id=f'{call.request_id}-{again}')
             called = await self._client.call(call)
             self._count(flood, called)
 
@@ -87,11 +87,6 @@
         if crashes:
             request_id = f'crash-{request_id}'
         body = self._rng.randbytes(flood.get('body_bytes', 64))
-        headers: list[tuple[bytes, bytes]] = []
-        if 'service_ms' in flood:
-            headers.append((b'x-service-ms', b'%d' % flood['service_ms']))
-        if crashes:
-            headers.append((b'x-crash', b'1'))
         stalls = flood.get('stalls', False)
         return Call(
             flood['service'],
@@ -99,7 +94,7 @@
             '/proof',
             b'' if stalls else body,
             _stall(body) if stalls else None,
-            headers,
+            _headers_of(flood),
             rank=flood['rank'],
             timeout_ms=flood.get('timeout_ms', _DEFAULT_TIMEOUT_MS),
             repeatable=flood.get('repeatable', False),
@@ -114,6 +109,16 @@
         self.outcomes[flood['rank']][outcome] += 1
 
 
+def _headers_of(flood: FloodStep) -> Sequence[tuple[bytes, bytes]]:
+    headers: list[tuple[bytes, bytes]] = []
+    service_ms = flood.get('service_ms')
+    if service_ms is not None:
+        headers.append((b'x-service-ms', b'%d' % service_ms))
+    if flood.get('crashes', False):
+        headers.append((b'x-crash', b'1'))
+    return headers
+
+
 async def _stall(body: bytes) -> AsyncIterator[bytes]:
     yield body
     await asyncio.sleep(_STALL_S)
--- a/proofs/_stage.py
+++ b/proofs/_stage.py
@@ -32,11 +32,14 @@
         self.record = make_recorder(self.history_path('runner'), 'runner')
         self.relays: dict[str, Relay] = {}
         self._real: dict[str, Address] = {}
-        self._servers: list[asyncio.Server] = []
+        self._servers: dict[str, asyncio.Server] = {}
+        self._followers: set[asyncio.Task[None]] = set()
 
     async def __aexit__(self, *raised: object) -> None:
         """End the relays with the processes."""
-        for server in self._servers:
+        for follower in self._followers:
+            follower.cancel()
+        for server in self._servers.values():
             server.close()
         for relay in self.relays.values():
             relay.close()
@@ -82,8 +85,7 @@
         """Start a backend server behind a relay that has its address."""
         key = f'backend {pair.name}'
         real = self._real.setdefault(key, Address(_IP, free_port()))
-        if key not in self.relays:
-            await self.add_relay(key, pair.backend_server, real)
+        await self.add_relay(key, pair.backend_server, real)
         await self.spawn(
             key,
             'stand_ins.backend_server',
@@ -94,6 +96,8 @@
             f'--history_path={self.history_path(key)}',
             f'--history_name={pair.backend_server}',
         )
+        follower = asyncio.create_task(self._follow(key))
+        self._followers.add(follower)
 
     async def start_node(self, pair: Pair) -> None:
         """Start a node whose way to the platform is a relay."""
@@ -104,8 +108,8 @@
 
     async def add_relay(self, key: str, at: Address, target: Address) -> None:
         """Start a relay."""
-        self.relays[key] = Relay(target)
-        self._servers.append(await self.relays[key].listen(at))
+        relay = self.relays.setdefault(key, Relay(target))
+        self._servers[key] = await relay.listen(at)
 
     async def restart(self, process: str) -> None:
         """Start a process again and wait until it is ready."""
@@ -178,6 +182,11 @@
             for status in told
         )
 
+    async def _follow(self, key: str) -> None:
+        """Refuse connections as soon as the process behind a relay is gone."""
+        await self.processes[key].wait()
+        self._servers[key].close()
+
     def _settings_of(self, pair: Pair) -> Mapping[str, Any]:
         key = f'platform {pair.name}'
         near = self._real.setdefault(key, Address(_IP, free_port()))._asdict()
