Ask the scenarios themselves whether they can fail

Cause: mechanisms were taken out one by one in scratch copies, and a few scenarios held all the same: they proved nothing.

Change: short-answers cut within the head only, now within the body too; store-lost-answers lost the answer of the object's write, so that nothing was ever accepted, and now loses that of the head's write and asks for three accepted versions, as does pair-race-lost-answers; stale-caller is new, since the library stops sending to a leaving node by itself and so hid whether the node refuses.

Red: red/stale-store, new. A store that gives a row as it was before its last write lets a restarted node put the older version in force.

Mutations, each in a scratch copy, with what then broke: - stop without the wait for running work: planned-stop (planned stop) - a leaving node admits on: stale-caller (leaving) - every copy of a ticket runs: copies, pair-copies-kill, pair-copies-freeze (at most once) - every lost call proves "not run": killed-node, killed-backend, cut-link (at most once), frozen-node (not run); pair-stop-kill held - slots come back at once: frozen-backend, held-link (slots) - a short answer ends like a whole one: short-answers (answers) - the echoed id is not checked: crossed-answers (answers) - a timed-out connection is used again: held alone, the id check catches it; with that out too: late-answers, held-link (answers) - no progress floor: stalled-uploads (uploads answered) - the head is written without a condition: racing-operators, pair-race-lost-answers (versions) - lost answers are not settled: store-lost-answers, pair-race-lost-answers (accepted) - no quarantine: crash-request (4 starts instead of 2) - each request asks the store: store-down, pair-stop-store-down - a version may replace a newer one: restarted-node and pair-freeze-publish held, since the follower checks as well; not shown.

--- a/carobmoor/client/__init__.py
+++ b/carobmoor/client/__init__.py
@@ -25,6 +25,7 @@
 from carobmoor.client._policies import policy_of
 from carobmoor.client._prober import keep_probing
 from carobmoor.client._request import failure_of
+from carobmoor.client._record import record_outcome, record_sent
 
 __all__ = [
     'ATTEMPT_HEADER',
@@ -47,4 +48,6 @@
     'learn_service',
     'policy_of',
     'read_call_context',
+    'record_outcome',
+    'record_sent',
 ]
--- /dev/null
+++ b/proofs/_direct.py
@@ -0,0 +1,49 @@
+"""Calls that name their owner, as of a caller whose knowledge is stale."""
+
+from result import Err, Ok, Result
+
+from carobmoor import Call, CallAnswer, Failure
+from carobmoor.client import (
+    DEADLINE_HEADER,
+    OWNER_HEADER,
+    RANK_HEADER,
+    REQUEST_ID_HEADER,
+    SERVICE_HEADER,
+    failure_of,
+)
+from carobmoor.outcomes import OUTCOME_HEADER, decode_failure
+from carobmoor.transport import (
+    ConnectionPool,
+    OutgoingRequest,
+    header_of,
+    parse_address,
+    request_json,
+)
+
+_MS_PER_S = 1000
+
+
+async def call_directly(
+    pool: ConnectionPool,
+    call: Call,
+    owner: str,
+) -> Result[CallAnswer, Failure]:
+    """Send a call to one node that is to run it, without a choice."""
+    headers = (
+        (REQUEST_ID_HEADER, call.request_id.encode()),
+        (SERVICE_HEADER, call.service.encode()),
+        (RANK_HEADER, call.rank.encode()),
+        (OWNER_HEADER, owner.encode()),
+        (DEADLINE_HEADER, b'%d' % call.timeout_ms),
+        *call.headers,
+    )
+    request = OutgoingRequest(call.method, call.target, headers, call.body)
+    timeout_s = call.timeout_ms / _MS_PER_S
+    told = await request_json(pool, parse_address(owner), request, timeout_s)
+    if isinstance(told, Err):
+        return Err(failure_of(told.err_value))
+    answer = told.ok_value
+    if header_of(answer.head.headers, OUTCOME_HEADER.encode()):
+        return Err(decode_failure(answer.body, call.request_id, owner))
+    status, answered = answer.head
+    return Ok(CallAnswer(status, answered, answer.body, owner, call.request_id))
--- a/proofs/_flood.py
+++ b/proofs/_flood.py
@@ -9,7 +9,10 @@
 from result import Result
 
 from carobmoor import Call, CallAnswer, Client, Failure, Unknown
+from carobmoor.client import record_outcome, record_sent
+from proofs._direct import call_directly
 from proofs._language import FloodStep
+from proofs._stage import Stage
 
 _DEFAULT_RATE: Final = 200
 _DEFAULT_TIMEOUT_MS: Final = 2000
@@ -21,10 +24,16 @@
 class Callers:
     """The calls on their way, and by rank how those before ended."""
 
-    def __init__(self, client: Client, rng: random.Random) -> None:
+    def __init__(
+        self,
+        client: Client,
+        stage: Stage,
+        rng: random.Random,
+    ) -> None:
         """Send through one client; the source draws ids and bodies."""
         self.outcomes: defaultdict[str, Counter[str]] = defaultdict(Counter)
         self._client = client
+        self._stage = stage
         self._rng = rng
         self._pending: set[asyncio.Task[None]] = set()
         self._floods = 0
@@ -59,6 +68,11 @@
 
     async def _send(self, flood: FloodStep, request_id: str) -> None:
         call = self._call_of(flood, request_id)
+        wanted = flood.get('at', '')
+        if wanted:
+            owner = self._stage.address_of(wanted)
+            self._count(flood, await self._send_to(owner, call))
+            return
         called = await self._send_copies(call, flood.get('copies', 1))
         self._count(flood, called)
         for again in range(flood.get('resends', 0)):
@@ -68,6 +82,12 @@
             called = await self._client.call(call)
             self._count(flood, called)
 
+    async def _send_to(self, owner: str, call: Call) -> Called:
+        record_sent(self._stage.record, call)
+        called = await call_directly(self._stage.pool, call, owner)
+        record_outcome(self._stage.record, call, called)
+        return called
+
     async def _send_copies(self, call: Call, copies: int) -> Called:
         if copies == 1:
             return await self._client.call(call)
--- a/proofs/_language.py
+++ b/proofs/_language.py
@@ -71,6 +71,8 @@
     copies: NotRequired[Annotated[int, Field(ge=1, le=5)]]
     # Sent again, as a new request, this often after an unknown outcome.
     resends: NotRequired[Annotated[int, Field(ge=0, le=10)]]
+    # Sent to this node alone, whatever is known of it.
+    at: NotRequired[Annotated[str, Field(pattern='^node [a-z]+-[0-9]+$')]]
     # Crashes each backend server that runs it.
     crashes: NotRequired[bool]
     # Sends half of its body and then nothing.
@@ -117,7 +119,10 @@
     do: Literal['store']
     delay_ms: NotRequired[Milliseconds]
     is_down: NotRequired[bool]
+    is_stale: NotRequired[bool]
     loses_answers: NotRequired[Count]
+    # Only of writes whose path starts so.
+    loses_on: NotRequired[str]
 
 
 @with_config(_STRICT)
--- a/proofs/_play.py
+++ b/proofs/_play.py
@@ -51,7 +51,7 @@
         self.scenario = scenario
         self.stage = stage
         self.rng = random.Random(scenario.get('seed', 1))
-        self.callers = Callers(client, self.rng)
+        self.callers = Callers(client, stage, self.rng)
         self.document = _document_of(scenario)
         self.version = 1
 
--- a/proofs/tests/test_scenarios.py
+++ b/proofs/tests/test_scenarios.py
@@ -20,6 +20,8 @@
     'racing-operators',
     'restarted-node',
     'stalled-uploads',
+    'stale-caller',
+    'red/stale-store',
     'crash-request',
     'flood-of-the-urgent',
     'pair-copies-kill',
