--- a/carobmoor/client/__init__.py
+++ b/carobmoor/client/__init__.py
@@ -24,8 +24,8 @@
 from carobmoor.client._metrics import DispatchCollector
 from carobmoor.client._policies import policy_of
 from carobmoor.client._prober import keep_probing
-from carobmoor.client._request import failure_of
 from carobmoor.client._record import record_outcome, record_sent
+from carobmoor.client._request import failure_of
 
 __all__ = [
     'ATTEMPT_HEADER',
--- a/carobmoor/client/_client.py
+++ b/carobmoor/client/_client.py
@@ -104,7 +104,9 @@
         routing = self.dispatcher.routing
         self._background = (
             asyncio.create_task(self._keep_refreshing()),
-            asyncio.create_task(keep_probing(routing, self._pool)),
+            asyncio.create_task(
+                keep_probing(routing, self._pool, self._record)
+            ),
         )
 
     async def close(self) -> None:
--- a/carobmoor/client/_prober.py
+++ b/carobmoor/client/_prober.py
@@ -9,6 +9,7 @@
 
 from result import Err, Result
 
+from carobmoor.history import Kind, Record
 from carobmoor.routing import (
     CandidateState,
     ProbeBudget,
@@ -72,7 +73,11 @@
             resume = functools.partial(steps.throw, error)
 
 
-async def keep_probing(routing: RoutingState, pool: ConnectionPool) -> None:
+async def keep_probing(
+    routing: RoutingState,
+    pool: ConnectionPool,
+    record: Record,
+) -> None:
     """Ask one candidate after the other until cancelled."""
     budget = ProbeBudget(routing.policy)
     while True:
@@ -80,6 +85,7 @@
         budget.follow(routing.policy)
         found = next_probe(routing, budget, time.monotonic())
         if found is not None:
+            record(Kind.PROBED, subject=str(found[1].address))
             await _probe(routing, pool, budget, *found)
 
 
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -66,7 +66,11 @@
         asyncio.create_task(node.gate.watch()),
         asyncio.create_task(node.quarantine.spread.run()),
         asyncio.create_task(
-            keep_probing(node.dispatcher.routing, node.pools.nodes),
+            keep_probing(
+                node.dispatcher.routing,
+                node.pools.nodes,
+                node.record,
+            ),
         ),
         asyncio.create_task(watch_stalls(node.stalls)),
     ]
--- a/carobmoor/routing/tests/test_fuzz_reports.py
+++ b/carobmoor/routing/tests/test_fuzz_reports.py
@@ -8,6 +8,7 @@
 
 from carobmoor.routing import (
     Candidate,
+    ChoiceQuery,
     RoutingState,
     choose,
     decode_report,
@@ -36,7 +37,7 @@
     for known in state.of('bookings'):
         if report is not None:
             assert report.slots > 0
-            note_report(known, report, 1)
-    chosen = choose(state, 'bookings', (), 1, random.Random(1))
+            note_report(state, 'bookings', known, report, 1)
+    chosen = choose(state, 'bookings', ChoiceQuery(), 1, random.Random(1))
     is_leaving = report is not None and report.is_leaving
     assert (chosen is None) == is_leaving
--- a/proofs/tests/test_scenarios.py
+++ b/proofs/tests/test_scenarios.py
@@ -21,11 +21,11 @@
     'restarted-node',
     'stalled-uploads',
     'stale-caller',
-    'red/stale-store',
     'crash-request',
     'flood-of-the-urgent',
     'pair-copies-kill',
     'pair-freeze-publish',
+    'red/stale-store',
 )
 
 
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -88,8 +88,9 @@
         body = await request.read() or b''
         if not _holds(request, rows.get(key)):
             return Response(412)
-        if key in rows:
-            store.before[f'{table}/{key}'] = rows[key]
+        replaced = rows.get(key)
+        if replaced is not None:
+            store.before[f'{table}/{key}'] = replaced
         rows[key] = (body, store.next_tag())
         return _row(rows[key])
 
