Idempotency keys for plain callers who resend through other nodes

Cause: a plain caller has no ticket of its own; a resend through another node was a second request.

Ruled out: a claim row alone, with the sending node deciding (two nodes that meet one row could both send); moving a claim to another ticket in place (one more conditional write on every bounce; it is deleted by tag and claimed anew); the caller's address in the key (it changes between resends).

Change: the row that claims the key names one ticket, minted before the insert, and every node sends its copies under it, so the owner decides. A lost answer of the insert is read back by what stands there. Store down: not run, store_unavailable. Another body or service: 409 conflict.

Found on the way: copies of one ticket forwarded by two nodes looked like requests of two callers, and the owner's answer was conflict as "not run" (test_ticket_fits_whichever_node_forwards_it). A conflict over a request id is "unknown" now: the id's request may have run.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 from bench.quarantine import measure_quarantine
 from bench.retries import measure_retries
 from bench.routing import measure_routing
+from bench.tickets import measure_tickets
 
 _BENCHES = MappingProxyType(
     {
@@ -24,6 +25,7 @@
         'quarantine': measure_quarantine,
         'retries': measure_retries,
         'routing': measure_routing,
+        'tickets': measure_tickets,
     },
 )
 
--- /dev/null
+++ b/bench/tickets.py
@@ -0,0 +1,137 @@
+"""What tickets add to a call, in time, bytes, memory and store writes.
+
+Calls with and without tickets go to the same node in interleaved rounds of
+one run; the figures are medians over the rounds.
+"""
+
+import asyncio
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Sequence
+from typing import Final
+
+from carobmoor import Call, Client
+from carobmoor.tickets import (
+    KeptAnswer,
+    Presented,
+    Start,
+    TicketPolicy,
+    TicketTable,
+    admit,
+    encode_grant,
+    encode_ticket,
+    mint,
+    settle,
+)
+from carobmoor.transport import OutgoingRequest, request_json
+from stand_ins.deployment import Deployment, Pair, Place, read_example
+
+_BODY: Final = b'x' * 140
+_US_PER_S: Final = 1_000_000
+_DECISIONS: Final = 10_000
+_KEYED_CALLS: Final = 50
+_TIMEOUT_S: Final = 5
+
+
+def measure_tickets(rounds: int = 15, calls: int = 200) -> None:
+    """Print what tickets add to a call.
+
+    Args:
+        rounds: Interleaved rounds with and without tickets.
+        calls: Calls of a round, one after the other.
+    """
+    _measure_table()
+    asyncio.run(_measure(rounds, calls))
+
+
+def _measure_table() -> None:
+    policy = TicketPolicy(most_decisions=_DECISIONS)
+    table = TicketTable('127.0.0.1:7101', policy, 0)
+    grant = table.grant(0)
+    ticket = mint(grant, 'request', 'bookings', 0)
+    answer = KeptAnswer(200, ((b'content-type', b'application/json'),), _BODY)
+    _say(f'ticket header: {len(encode_ticket(ticket))} bytes')
+    _say(f'grant header: {len(encode_grant(grant))} bytes')
+    tracemalloc.start()
+    for number in range(_DECISIONS):
+        _decide(table, f'{number:032x}', answer._replace(body=bytes(140)))
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    _say(f'memory: {kept_bytes / _DECISIONS:.0f} bytes a kept decision')
+    table = TicketTable('127.0.0.1:7101', policy, 0)
+    begun_s = time.perf_counter()
+    for number in range(_DECISIONS):
+        _decide(table, f'{number:032x}', answer)
+    took_us = (time.perf_counter() - begun_s) / _DECISIONS * _US_PER_S
+    _say(f'mint, admit and settle: {took_us:.1f} us a call')
+
+
+def _decide(table: TicketTable, request_id: str, answer: KeptAnswer) -> None:
+    ticket = mint(table.grant(0), request_id, 'bookings', 0)
+    presented = Presented(request_id, 'bookings', 'digest')
+    verdict = admit(table, ticket, presented, 0)
+    if isinstance(verdict, Start):
+        settle(table, verdict.decision, answer)
+
+
+async def _measure(rounds: int, calls: int) -> None:
+    place = Place('bookings', 'lagos', 'lagos-a', service_ms=0)
+    async with Deployment() as deployment:
+        await deployment.start((place,), read_example('adeyemi'))
+        contact = str(deployment.pairs[0].node)
+        async with Client((contact,), 'bench') as client:
+            await _compare(client, rounds, calls)
+        await _count_writes(deployment, deployment.pairs[0])
+
+
+async def _compare(client: Client, rounds: int, calls: int) -> None:
+    with_ticket = Call('bookings', 'POST', '/bench', _BODY)
+    without = with_ticket._replace(repeatable=True)
+    gathered: tuple[list[float], list[float]] = ([], [])
+    for _ in range(rounds):
+        for call, medians_us in zip(
+            (without, with_ticket),
+            gathered,
+            strict=True,
+        ):
+            medians_us.append(await _round(client, call, calls))
+    added = [after - before for before, after in zip(*gathered, strict=True)]
+    _say(f'call without ticket: {statistics.median(gathered[0]):.0f} us p50')
+    _say(f'call with ticket: {statistics.median(gathered[1]):.0f} us p50')
+    _say(f'added by a ticket: {statistics.median(added):.0f} us p50')
+
+
+async def _round(client: Client, call: Call, calls: int) -> float:
+    took_us: list[float] = []
+    for _ in range(calls):
+        begun_s = time.perf_counter()
+        (await client.call(call)).unwrap()
+        took_us.append((time.perf_counter() - begun_s) * _US_PER_S)
+    return statistics.median(took_us)
+
+
+async def _count_writes(deployment: Deployment, pair: Pair) -> None:
+    before = await deployment.ask(deployment.platform, 'GET', '/faults')
+    for number in range(_KEYED_CALLS):
+        headers: Sequence[tuple[bytes, bytes]] = (
+            (b'x-carobmoor-service', b'bookings'),
+            (b'idempotency-key', b'bench-%d' % number),
+        )
+        request = OutgoingRequest('POST', '/bench', headers, _BODY)
+        asked = await request_json(
+            deployment.pool,
+            pair.node,
+            request,
+            _TIMEOUT_S,
+        )
+        asked.unwrap()
+    after = await deployment.ask(deployment.platform, 'GET', '/faults')
+    written = (after['writes'] - before['writes']) / _KEYED_CALLS
+    _say(f'store writes: {written:.2f} a keyed call, those of others included')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -10,6 +10,7 @@
 
 from carobmoor.client import Dispatcher, keep_probing, learn_service
 from carobmoor.history import Kind
+from carobmoor.idempotency import clean_claims
 from carobmoor.membership import (
     Gossip,
     Member,
@@ -69,6 +70,7 @@
             keep_probing(node.dispatcher.routing, node.pools.nodes),
         ),
         asyncio.create_task(watch_stalls(node.stalls)),
+        asyncio.create_task(clean_claims(node.platform, random.Random())),
     ]
     if node.pools.certificate is not None:
         watched = watch_certificate(node.pools.certificate)
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -22,6 +22,7 @@
 from carobmoor.node._departure import Departure
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._guard import note_lost, suspect_of
+from carobmoor.node._keyed import key_of, serve_keyed
 from carobmoor.node._once import grant_headers, refuse_once, run_once
 from carobmoor.node._placing import is_for_another, note_end, runs_here
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
@@ -94,6 +95,8 @@
         return NotRun(fault.code, 'read_request', node.here)
     if is_for_another(node, exchange.context):
         return NotRun(Code.NOT_OWNER, 'read_request', node.here)
+    if key_of(exchange):
+        return await serve_keyed(node, exchange)
     if runs_here(node, exchange.context):
         return await run_once(node, exchange, _own)
     return await _run_for_caller(exchange, _forward(node, exchange))
--- a/carobmoor/node/_once.py
+++ b/carobmoor/node/_once.py
@@ -177,6 +177,12 @@
     outcome = verdict.outcome
     if not isinstance(outcome, KeptAnswer):
         return outcome
+    await tell_answer(exchange, outcome)
+    return None
+
+
+async def tell_answer(exchange: Exchange, outcome: KeptAnswer) -> None:
+    """Give a kept answer to a copy."""
     request_id = exchange.context.request_id.encode()
     await exchange.send(
         {
@@ -192,7 +198,6 @@
             'more_body': False,
         },
     )
-    return None
 
 
 def _own_ticket(
@@ -211,7 +216,9 @@
 
 def _presented(exchange: Exchange) -> Presented:
     context = exchange.context
-    parts = (context.method, context.target, exchange.caller)
+    # Under a ticket the address of a caller may be that of a forwarding node.
+    caller = exchange.caller if context.ticket is None else ''
+    parts = (context.method, context.target, caller)
     joined = msgspec.json.encode(parts)
     is_whole = exchange.body.is_whole
     return Presented(
--- a/carobmoor/node/tests/test_once.py
+++ b/carobmoor/node/tests/test_once.py
@@ -64,6 +64,16 @@
     assert refuse_once(node, context, REFUSAL) == REFUSAL
 
 
+def test_ticket_fits_whichever_node_forwards_it():
+    """Copies that come from two addresses share one outcome."""
+    node, context = node_and_context()
+    first = exchange_of(context)
+    other = exchange_of(context)
+    other.caller = 'another address'
+    lost = asyncio.run(run_once(node, first, run_lost))
+    assert asyncio.run(run_once(node, other, run_forbidden)) == lost
+
+
 def test_early_refusal_after_a_run_is_unknown():
     """A refused copy says nothing of the one that ran."""
     node, context = node_and_context()
--- a/carobmoor/tickets/_decide.py
+++ b/carobmoor/tickets/_decide.py
@@ -100,7 +100,7 @@
 ) -> Verdict:
     if not _is_same(known.presented, presented):
         detail = 'the request id belongs to another request'
-        return Told(NotRun(Code.CONFLICT, _STEP, table.owner, detail))
+        return Told(Unknown(_STEP, table.owner, detail, Code.CONFLICT))
     if known.progress is Progress.RUNNING:
         return Wait(known)
     is_next = ticket.attempt > known.attempt
--- a/carobmoor/tickets/tests/test_ticket_table.py
+++ b/carobmoor/tickets/tests/test_ticket_table.py
@@ -186,6 +186,7 @@
     other = admit(table, ticket, Presented('a', 'any', 'else'), 0)
     assert same.outcome == ANSWERS[0]
     assert other.outcome.code is Code.CONFLICT
+    assert isinstance(other.outcome, Unknown)
 
 
 @params(('', True), ('body', True), ('else', False))
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,90 @@
+"""Idempotency keys of plain callers, through nodes and a failing store."""
+
+import asyncio
+import json
+
+from nose2.tools import params
+
+from carobmoor import Code
+from carobmoor.transport import OutgoingRequest, request_json
+from stand_ins.deployment import Place
+from tests.fixtures import asynchronous, running
+
+BOOKINGS = Place('bookings', 'lagos', 'lagos-a')
+MEDIA = Place('media', 'lagos', 'lagos-a')
+
+
+@asynchronous
+async def test_key_through_two_nodes_starts_once():
+    """Copies at once and later get one answer; another body a conflict."""
+    async with running(BOOKINGS, BOOKINGS, MEDIA) as deployment:
+        first, second = await asyncio.gather(
+            send(deployment, 0),
+            send(deployment, 2),
+        )
+        late = await send(deployment, 1)
+        other = await send(deployment, 1, body=b'other')
+        assert await count_starts(deployment) == [1]
+    assert first.head.status == 200
+    assert first.body == second.body == late.body
+    assert json.loads(other.body)['code'] == Code.CONFLICT
+
+
+@params({'loses_answers': 1}, {'loses_answers': 2}, {'delay_ms': 150})
+def test_store_that_fails_half_way(faults):
+    """A claim whose answer was lost is read back and goes on."""
+    asynchronous(_send_twice)(faults)
+
+
+async def _send_twice(faults):
+    async with running(BOOKINGS, BOOKINGS, MEDIA) as deployment:
+        await deployment.set_faults(deployment.platform, **faults)
+        first = await send(deployment, 2)
+        second = await send(deployment, 0)
+        assert await count_starts(deployment) == [1]
+    assert first.head.status == 200, first.body
+    assert first.body == second.body
+
+
+@asynchronous
+async def test_store_down_is_not_run():
+    """Nothing is sent while the key can't be claimed; later it is."""
+    async with running(BOOKINGS, MEDIA) as deployment:
+        await deployment.set_faults(deployment.platform, is_down=True)
+        refused = await send(deployment, 1)
+        assert await count_starts(deployment) == []
+        await deployment.set_faults(deployment.platform, is_down=False)
+        answered = await send(deployment, 0)
+        assert await count_starts(deployment) == [1]
+    told = json.loads(refused.body)
+    assert (told['outcome'], told['code']) == (
+        'not_run',
+        Code.STORE_UNAVAILABLE,
+    )
+    assert answered.head.status == 200
+
+
+async def send(deployment, place, body=b'deposit'):
+    """Send a request with the one key to a node."""
+    headers = (
+        (b'x-carobmoor-service', b'bookings'),
+        (b'x-carobmoor-caller', b'plain'),
+        (b'idempotency-key', b'the-one-key'),
+    )
+    request = OutgoingRequest('POST', '/x', headers, body)
+    node = deployment.pairs[place].node
+    asked = await request_json(deployment.pool, node, request, 10)
+    return asked.unwrap()
+
+
+async def count_starts(deployment):
+    """List how often each request was started on any backend server."""
+    counts = []
+    for pair in deployment.pairs:
+        told = await deployment.ask(
+            pair.backend_server,
+            'GET',
+            '/_backend/starts',
+        )
+        counts.extend(told['starts'].values())
+    return counts
