--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from carobmoor.admission import Arrival
+from carobmoor.admission import Arrival, Grant
 from carobmoor.client import (
     ATTEMPT_HEADER,
     REQUEST_ID_HEADER,
@@ -23,6 +23,7 @@
 from carobmoor.node._departure import Departure
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._guard import note_lost, suspect_of
+from carobmoor.node._keyed import key_of, serve_keyed
 from carobmoor.node._once import grant_headers, refuse_once, run_once
 from carobmoor.node._placing import is_for_another, note_end, runs_here
 from carobmoor.node._relay import Send, end_to_end, relay_answer, send_failure
@@ -96,6 +97,8 @@
         return NotRun(fault.code, 'read_request', node.here)
     if is_for_another(node, exchange.context):
         return NotRun(Code.NOT_OWNER, 'read_request', node.here)
+    if key_of(exchange):
+        return await serve_keyed(node, exchange)
     if runs_here(node, exchange.context):
         return await run_once(node, exchange, _own)
     return await _run_for_caller(exchange, _forward(node, exchange))
@@ -159,22 +162,23 @@
         is_typical = failure is None or exchange.left_s <= 0
     finally:
         exchange.served_s = time.monotonic() - started_s
-        give_back = functools.partial(
-            node.gate.leave,
-            entered.ok_value,
-            exchange.served_s,
-            is_typical,
-        )
-        _when_let_go(node, exchange, give_back)
+        _give_back(node, exchange, entered.ok_value, is_typical)
     return failure
 
 
-def _when_let_go(
+def _give_back(
     node: NodeState,
     exchange: Exchange,
-    give_back: Callable[[], None],
+    grant: Grant,
+    is_typical: bool,
 ) -> None:
     """Give a slot back when the backend server surely works no more on it."""
+    give_back = functools.partial(
+        node.gate.leave,
+        grant,
+        exchange.served_s,
+        is_typical,
+    )
     request = exchange.request
     pool = node.pools.backend_server
     lingering = None if request is None else pool.lingering(request)
