Give stand-ins ports that outgoing connections don't take

Cause: three whole runs beside other work each failed one test, every time another: a node's status that was no JSON, a status without an address, a test that waited for its members. The stand-ins' ports came from the range that the system gives to outgoing connections, so that a connection or another run's process could take a port between finding and using it. Ruled out: the tests themselves, which passed alone.

Change: ports are drawn below that range and tried by binding.

Not proven: the collision was not caught in the act; no whole run has shown it since, which is one run so far.

--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import json
+import random
 import signal
 import socket
 import ssl
@@ -28,6 +30,8 @@
 
 OPERATOR_TOKEN = 'operator-token-of-the-stand-ins'
 _IP = '127.0.0.1'
+# Below the range of outgoing connections.
+_PORTS = (10_240, 32_000)
 _READY_TRIES = 300
 _READY_INTERVAL_S = 0.05
 _STOP_TIMEOUT_S = 20
@@ -268,10 +272,16 @@
 
 
 def free_port() -> int:
-    """Find a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((_IP, 0))
-        return int(probe.getsockname()[1])
+    """Find a port that nobody listens on.
+
+    Ports that the system gives to outgoing connections are avoided, since one
+    of those could take the port before the process that it was found for.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((_IP, port))
+            return port
 
 
 def read_example(name: str) -> Any:
