Give test members addresses that exist

Cause: test_the_dead_do_not_circulate failed: its fixture numbers members up to 4,999 in the last part of 10.0.0.N, and what is decoded from peers must now be an address. The fixture counts over two parts; what the test asks for is unchanged. Ruled out: a looser check of addresses (300 is no IP number).

--- a/carobmoor/membership/tests/fixtures.py
+++ b/carobmoor/membership/tests/fixtures.py
@@ -19,7 +19,7 @@
 ) -> Member:
     """Make a member; the zone names the region before its hyphen."""
     region = zone.partition('-')[0]
-    address = f'10.0.0.{number}:7000'
+    address = f'10.0.{number // 256}.{number % 256}:7000'
     return Member(address, 'bookings', region, zone, incarnation, standing)
 
 
