Wait for the word of a living node before a version is in force

Cause: a node replaced while the store gave rows as they were before their last write put the older version in force (the known red red/stale-store). It trusted one read of the store. Ruled out: a floor from what was told so far alone; a starting node has heard nobody yet when it reads the head.

Change: the configuration is followed once the node has tried to join, and a starting node that knows a living one waits for its word, 5 s at most; nothing below what was told or read is put in force.

Conclusion: holds where a living node is met; with nobody met within the bound the store's word has to do.

--- a/carobmoor/configuration/_collect.py
+++ b/carobmoor/configuration/_collect.py
@@ -35,6 +35,8 @@
     # How many other nodes and how many availability zones are known.
     count_others: Callable[[], int]
     count_zones: Callable[[], int]
+    # Whether some living node is known that will tell its version.
+    expects_word: Callable[[], bool] = bool
 
 
 class Collector:
--- a/carobmoor/configuration/_follow.py
+++ b/carobmoor/configuration/_follow.py
@@ -35,6 +35,8 @@
 from carobmoor.telemetry import logger_for
 
 SINCE_TARGET: Final = '/_carobmoor/configuration/since'
+# How long a starting node waits for the word of a living one.
+_WORD_PATIENCE_S: Final = 5
 _POLL_INTERVAL_S: Final = 1
 _RARE_POLL_INTERVAL_S: Final = 600
 _TELLERS: Final = 3
@@ -64,13 +66,14 @@
         # The least version that may be in force; unknown at the start.
         self.floor: int | None = None
         self._platform = platform
-        self._fleet = fleet
+        self.fleet = fleet
         self._rng = rng
         self._collector = Collector(platform, state, fleet, rng)
         self._told: dict[Teller, int] = {}
         self._newest: tuple[int, str] = (0, '')
         self._is_behind = asyncio.Event()
         self._next_poll_s = float(0)
+        self._waiting_from_s: float | None = None
 
     @property
     def accepted(self) -> Accepted | None:
@@ -86,6 +89,7 @@
         """Take note of the version in force at another node."""
         if self.floor is None:
             self._told[teller] = version
+            self._is_behind.set()
         if version > self.state.version:
             self._newest = (version, teller.address)
             self._is_behind.set()
@@ -104,18 +108,20 @@
         """Do what is due now."""
         self._is_behind.clear()
         if self.floor is None:
-            await self._find_floor()
+            await self._find_floor(now_s)
         version, teller = self._newest
         if self.floor is not None and version > self.state.version:
             await self.catch_up(teller)
-        is_ready = self.floor is not None
-        if is_ready and (now_s >= self._next_poll_s or self._is_due()):
+        if self.floor is None:
+            return
+        is_short = self.state.version < self.floor or self.fleet.is_poller()
+        if is_short or now_s >= self._next_poll_s:
             await self._poll(now_s)
 
     async def catch_up(self, teller: str) -> bool:
         """Come to the version that another node has in force."""
         asked = msgspec.json.encode(self.state.version)
-        answered = await self._fleet.ask(teller, SINCE_TARGET, asked)
+        answered = await self.fleet.ask(teller, SINCE_TARGET, asked)
         if answered is None:
             return False
         try:
@@ -166,20 +172,29 @@
         changes = [change] if is_next else []
         self.state.put_in_force(snapshot, changes, texts)
 
-    async def _find_floor(self) -> None:
-        """Learn what must be in force before this node is ready."""
+    async def _find_floor(self, now_s: float) -> None:
+        """Learn what must be in force before this node is ready.
+
+        The store may give a row as it was before its last write, so the word
+        of a living node is waited for too, within a bound.
+        """
         read = await read_head(self._platform)
         if isinstance(read, Err):
-            if _is_told_enough(self._told, self._fleet):
+            if _is_told_enough(self._told, self.fleet):
                 self.floor = max(self._told.values())
                 _log.info('Version told by peers.', version=self.floor)
             return
-        self.floor = read.ok_value.version
+        if self._is_waiting_for_word(now_s):
+            return
+        self.floor = max(read.ok_value.version, *self._told.values(), 0)
         await self._reach(read.ok_value)
 
-    def _is_due(self) -> bool:
-        is_short = self.state.version < (self.floor or 0)
-        return is_short or self._fleet.is_poller()
+    def _is_waiting_for_word(self, now_s: float) -> bool:
+        if self._told or not self.fleet.expects_word():
+            return False
+        if self._waiting_from_s is None:
+            self._waiting_from_s = now_s
+        return now_s - self._waiting_from_s < _WORD_PATIENCE_S
 
     async def _poll(self, now_s: float) -> None:
         """Read the head; a store that is down changes nothing."""
--- a/carobmoor/configuration/tests/test_follow.py
+++ b/carobmoor/configuration/tests/test_follow.py
@@ -33,6 +33,10 @@
     return 'down'
 
 
+async def _stale(how):
+    return 'stale' if how == 'read' else 'ok'
+
+
 async def _well(_):
     return 'ok'
 
@@ -199,6 +203,45 @@
     assert asyncio.run(scenario()) == expected
 
 
+def test_start_with_a_stale_store():
+    """A row from before its last write is not put in force."""
+
+    async def scenario():
+        platform, nodes = await ready_fleet()
+        await accept(platform, nodes, '0', 1, 12)
+        platform.older = [{**platform.older[-1]}]
+        platform.before = _stale
+        late = Nodes(platform, COUNT)
+        late.followers['0'] = nodes.followers['0']
+        starting = late.followers['3']
+        starting.fleet = starting.fleet._replace(expects_word=lambda: True)
+        seen = []
+        for second in range(3):
+            await starting.step(second)
+            seen.append(starting.version)
+        late.tell('0', '3')
+        await starting.step(3)
+        await starting.step(4)
+        return [*seen, starting.version]
+
+    assert asyncio.run(scenario()) == [0, 0, 0, 2]
+
+
+@params((4, 0), (6, 1))
+def test_word_of_others_is_waited_for_in_bounds(second, version):
+    """When nobody known answers, the store's word has to do."""
+
+    async def scenario():
+        platform, _ = await ready_fleet()
+        starting = Nodes(platform, COUNT).followers['3']
+        starting.fleet = starting.fleet._replace(expects_word=lambda: True)
+        await starting.step(0)
+        await starting.step(second)
+        return starting.version
+
+    assert asyncio.run(scenario()) == version
+
+
 def test_start_below_the_head_is_not_ready():
     """A starting node that read the head waits for no less than that."""
 
--- a/carobmoor/membership/_gossip.py
+++ b/carobmoor/membership/_gossip.py
@@ -67,6 +67,7 @@
         self.socket = DatagramSocket(cluster_key, self.hear)
         self.version = 0
         self.on_version = on_version
+        self.has_tried_to_join = asyncio.Event()
         self._rng = rng
         self._targets = Targets(state, rng)
         self.probes = ProbeState(state, self._targets)
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -47,6 +47,7 @@
         else:
             await _try_to_join(gossip, platform, peers, rng)
             wait_s = min(2 * wait_s, _MOST_JOIN_INTERVAL_S)
+        gossip.has_tried_to_join.set()
         await asyncio.sleep(wait_s * jitter(rng))
 
 
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -99,7 +99,7 @@
     """Start the tasks by which a node knows of the others."""
     rng = random.Random()
     duties = (
-        node.configuration.run(),
+        _follow(node),
         _join(node),
         keep_seeds(node.gossip, node.platform, rng),
         node.gossip.run(),
@@ -107,6 +107,12 @@
     return [asyncio.create_task(duty) for duty in duties]
 
 
+async def _follow(node: NodeState) -> None:
+    """Follow the configuration, once others had a chance to be met."""
+    await node.gossip.has_tried_to_join.wait()
+    await node.configuration.run()
+
+
 async def _join(node: NodeState) -> None:
     """Meet other nodes through the settings and the table service."""
     peers = [parse_address(peer) for peer in node.settings.get('peers', ())]
--- a/carobmoor/node/_follow.py
+++ b/carobmoor/node/_follow.py
@@ -60,7 +60,14 @@
     def count_zones() -> int:
         return len({member.zone for member in members.others()})
 
-    return Fleet(ask, of_service, is_poller, count_others, count_zones)
+    return Fleet(
+        ask,
+        of_service,
+        is_poller,
+        count_others,
+        count_zones,
+        lambda: count_others() > 0,
+    )
 
 
 class _Choice:
--- a/proofs/tests/test_scenarios.py
+++ b/proofs/tests/test_scenarios.py
@@ -25,7 +25,7 @@
     'flood-of-the-urgent',
     'pair-copies-kill',
     'pair-freeze-publish',
-    'red/stale-store',
+    'stale-store',
 )
 
 
