Serve an OpenAPI document and hold pages and alert rules to the metrics

Cause: no page named the metrics, nothing showed a store outage in them, and the administration paths were listed nowhere.

Test: tests/test_metrics_path.py reads both from a running node and fails when the page or a rule names a metric that isn't served; it did so for a counter whose samples only appear with the first call, which is now named by its family.

--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -10,6 +10,7 @@
 from carobmoor.node._configure import route_configuration
 from carobmoor.node._departure import Departure
 from carobmoor.node._gauges import set_gauges
+from carobmoor.node._openapi import serve_openapi
 from carobmoor.node._peers import route_peers
 from carobmoor.node._quarantine import route_quarantine
 from carobmoor.node._replies import (
@@ -81,6 +82,7 @@
 
     app.router.add_post(f'{_PREFIX}/drain', drain)
     app.router.add_delete(f'{_PREFIX}/drain', undo_drain)
+    serve_openapi(app)
     return app
 
 
--- a/carobmoor/platform/_breaker.py
+++ b/carobmoor/platform/_breaker.py
@@ -24,6 +24,11 @@
         self._wait_s = float(_FIRST_WAIT_S)
         self._open_until_s = float(0)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether so many calls failed in a row that most are held back."""
+        return self._failures >= _FAILURES_TO_OPEN
+
     def may_call(self, now_s: float) -> bool:
         """Tell whether a call may be tried; claims the one trial call."""
         if self._failures < _FAILURES_TO_OPEN:
--- a/carobmoor/platform/_client.py
+++ b/carobmoor/platform/_client.py
@@ -64,6 +64,11 @@
             address: Breaker(rng) for address in (table_service, object_store)
         }
 
+    @property
+    def is_down(self) -> bool:
+        """Whether a service of the platform fails every call just now."""
+        return any(breaker.is_open for breaker in self._breakers.values())
+
     async def get_row(
         self,
         table: str,
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -95,6 +95,11 @@
             'Requests marked or quarantined for crashes.',
             registry=self.registry,
         )
+        self.store_down = Gauge(
+            'carobmoor_store_down',
+            'Whether the platform fails every call of this node: 0 or 1.',
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             'carobmoor_configuration_version',
             'The version of the configuration in force.',
--- /dev/null
+++ b/tests/test_metrics_path.py
@@ -0,0 +1,53 @@
+"""Metrics, alert rules and the OpenAPI document of a running node."""
+
+import asyncio
+import re
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from carobmoor import Call
+from stand_ins.deployment import Deployment, Place
+from tests.fixtures import asynchronous, client_of, running
+
+PLACE = Place('bookings', 'lagos', 'lagos-a')
+ROOT = Path(__file__).parent.parent
+NAMED = re.compile('carobmoor_[a-z_]+')
+
+
+async def read(deployment: Deployment, target: str) -> str:
+    """Read a control path as text."""
+    node = deployment.pairs[0].node
+    reader, writer = await asyncio.open_connection(*node)
+    head = f'GET {target} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+    writer.write(head.encode())
+    answer = await reader.read()
+    writer.close()
+    return answer.partition(b'\r\n\r\n')[2].decode()
+
+
+@asynchronous
+async def test_pages_and_rules_name_what_is_served():
+    """No page or rule names a metric that no node serves."""
+    async with running(PLACE) as deployment, client_of(deployment) as client:
+        await client.call(Call('bookings', 'GET', '/x', repeatable=True))
+        text = await read(deployment, '/_carobmoor/metrics')
+    served = set[str]()
+    for family in text_string_to_metric_families(text):
+        served.add(family.name)
+        served.update(sample.name for sample in family.samples)
+    for page in ('examples/alerts.yml', 'docs/operators/metrics.md'):
+        named = set(NAMED.findall((ROOT / page).read_text()))
+        # A counter without samples is served by its family's name only.
+        families = {name.removesuffix('_total') for name in named - served}
+        unserved = families - served - {'carobmoor_routing_'}
+        assert not unserved, (page, unserved)
+
+
+@asynchronous
+async def test_openapi_lists_the_control_paths():
+    """The document is made from the routes."""
+    async with running(PLACE) as deployment:
+        document = await read(deployment, '/_carobmoor/openapi.json')
+    for path in ('status', 'configuration', 'drain', 'quarantine', 'burn'):
+        assert f'"/_carobmoor/{path}"' in document
