--- a/carobmoor/transport/tests/test_steps.py
+++ b/carobmoor/transport/tests/test_steps.py
@@ -291,7 +291,7 @@
             writer: asyncio.StreamWriter,
         ) -> None:
             writers.append(writer)
-            gone = (asyncio.IncompleteReadError, asyncio.CancelledError)
+            gone = (EOFError, ConnectionError, asyncio.CancelledError)
             with context.suppress(*gone):
                 while await reader.readuntil(b'\r\n\r\n'):
                     writer.write(whole)
