Tell the choice and the attempts of forwarded requests

Cause: `carobmoor explain` said nothing of whom a forwarding node chose and on what knowledge.

Change: a call may carry a function that hears each step; a forwarding node gives its record's. Told are the chosen owner, every candidate with the own calls in flight, the last report and its age, and how an attempt failed. The check of an operator's scope stood three times and is one function now.

Test: test_explain_tells_the_choice_when_forwarding.

--- a/carobmoor/client/_dispatch.py
+++ b/carobmoor/client/_dispatch.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from carobmoor.client._messages import Call
+from carobmoor.client._notes import note_choice, note_outcome
 from carobmoor.client._once import TicketDesk, send_once
 from carobmoor.client._race import race
 from carobmoor.client._request import (
@@ -213,6 +214,7 @@
         if known is None:
             return Err(NotRun(Code.NO_CANDIDATE, 'choice', call.service))
         pursuit.tried.append(known.address)
+        note_choice(call, known, self.routing.of(call.service), now_s)
         number = call_started(self.routing, known, now_s)
         outcome = Outcome.NEUTRAL
         try:
@@ -221,6 +223,7 @@
         finally:
             self._end(call, known, number, outcome)
         self._learn(call, known, sent)
+        note_outcome(call, known, sent)
         return sent
 
     def _end(
--- a/carobmoor/client/_messages.py
+++ b/carobmoor/client/_messages.py
@@ -1,6 +1,6 @@
 """What a caller asks for and what it gets."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 from carobmoor.retries import FIRST_ATTEMPT
@@ -33,6 +33,8 @@
     # How many further attempts the chain may still make for this call; as
     # many as the configuration allows when `None`.
     retries_left: int | None = None
+    # Hears of each step: the part, what it did, and to or with whom.
+    note: Callable[[str, str, str], None] | None = None
 
 
 class CallAnswer(NamedTuple):
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -3,6 +3,7 @@
 from typing import Final, TypedDict
 
 from blacksheep import Application, Content, Request, Response, Router
+from result import Err
 
 from carobmoor.burn import take_snapshots
 from carobmoor.client import policy_of
@@ -20,7 +21,7 @@
     refuse,
     unauthorised,
 )
-from carobmoor.node._scope import refuse_stranger
+from carobmoor.node._scope import operator_in_scope
 from carobmoor.node._state import NodeState
 from carobmoor.node._ticket_routes import route_tickets
 from carobmoor.outcomes import Code
@@ -58,24 +59,18 @@
     route_quarantine(app, node)
 
     async def drain(request: Request) -> Response:
-        operator = operator_of(node, request)
-        if operator is None:
-            return unauthorised(node)
-        refused = refuse_stranger(node, operator)
-        if refused is not None:
-            return refused
+        permitted = operator_in_scope(node, request)
+        if isinstance(permitted, Err):
+            return permitted.err_value
         departure.drain()
         if not request.query.get('keep'):
             departure.stop.set()
         return as_json(OK, _status_of(node))
 
     async def undo_drain(request: Request) -> Response:
-        operator = operator_of(node, request)
-        if operator is None:
-            return unauthorised(node)
-        refused = refuse_stranger(node, operator)
-        if refused is not None:
-            return refused
+        permitted = operator_in_scope(node, request)
+        if isinstance(permitted, Err):
+            return permitted.err_value
         if not departure.undo_drain():
             return refuse(node, Code.CONFLICT, 'the node is stopping')
         return as_json(OK, _status_of(node))
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -106,6 +106,7 @@
         ticket=context.ticket,
         attempt=context.attempt,
         retries_left=context.retries_left,
+        note=exchange.note,
     )
     exchange.is_decided = True
     here = (parse_address(node.here),)
--- a/carobmoor/node/_quarantine.py
+++ b/carobmoor/node/_quarantine.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from blacksheep import Application, Request, Response
+from result import Err
 
 from carobmoor.node._replies import (
     OK,
@@ -12,7 +13,7 @@
     refuse,
     unauthorised,
 )
-from carobmoor.node._scope import refuse_stranger
+from carobmoor.node._scope import operator_in_scope
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code
 from carobmoor.quarantine import list_marks
@@ -32,16 +33,13 @@
         return as_json(OK, [mark._asdict() for mark in marks])
 
     async def clear(request: Request, fingerprint: str) -> Response:
-        operator = operator_of(node, request)
-        if operator is None:
-            return unauthorised(node)
-        refused = refuse_stranger(node, operator)
-        if refused is not None:
-            return refused
+        permitted = operator_in_scope(node, request)
+        if isinstance(permitted, Err):
+            return permitted.err_value
         cleared = await node.quarantine.clear(fingerprint)
         if cleared is None:
             return refuse(node, Code.NOT_FOUND, 'no mark of this request')
-        name = operator.name
+        name = permitted.ok_value.name
         _log.info('Operator cleared.', mark=fingerprint, operator=name)
         return as_json(OK, cleared._asdict())
 
--- a/carobmoor/node/_scope.py
+++ b/carobmoor/node/_scope.py
@@ -3,11 +3,11 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from blacksheep import Response
+from blacksheep import Request, Response
 from result import Err, Ok, Result
 
 from carobmoor.configuration import Document, load_version
-from carobmoor.node._replies import refuse
+from carobmoor.node._replies import operator_of, refuse, unauthorised
 from carobmoor.node._state import NodeState
 from carobmoor.operators import Operator, changes_out_of_scope, may_operate
 from carobmoor.outcomes import Code
@@ -39,17 +39,23 @@
     return refuse(node, Code.FORBIDDEN, detail)
 
 
-def refuse_stranger(node: NodeState, operator: Operator) -> Response | None:
-    """Refuse an operator to whom this node's service is out of scope."""
+def operator_in_scope(
+    node: NodeState,
+    request: Request,
+) -> Result[Operator, Response]:
+    """Give the operator who may operate this node's service, or refuse."""
+    operator = operator_of(node, request)
+    if operator is None:
+        return Err(unauthorised(node))
     team = ''
     accepted = node.configuration.accepted
     if accepted is not None:
         declared = accepted.document['services'].get(node.service)
         team = '' if declared is None else declared[_TEAM]
     if may_operate(operator, node.service, team):
-        return None
+        return Ok(operator)
     detail = f'{node.service} is not in the scope of {operator.name}'
-    return refuse(node, Code.FORBIDDEN, detail)
+    return Err(refuse(node, Code.FORBIDDEN, detail))
 
 
 async def _content_of(
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -11,6 +11,12 @@
 from tests.fixtures import asynchronous, running
 
 PLACE = Place('bookings', 'lagos', 'lagos-a')
+MEDIA = Place('media', 'lagos', 'lagos-a')
+PLAIN = (
+    b'GET /x HTTP/1.1\r\nhost: any\r\nconnection: close\r\n'
+    b'x-carobmoor-service: bookings\r\n'
+    b'x-carobmoor-request-id: plain-1\r\n\r\n'
+)
 DOCUMENT = str(EXAMPLES / 'adeyemi.json')
 OTHER_DOCUMENT = str(EXAMPLES / 'bawaba.json')
 
@@ -88,6 +94,23 @@
     assert len(json.loads(history.out)) == 1
 
 
+@asynchronous
+async def test_explain_tells_the_choice_when_forwarding():
+    """The node that a plain caller chose tells whom it tried, and why."""
+    async with running(PLACE, MEDIA) as deployment:
+        owner, entry = (str(pair.node) for pair in deployment.pairs)
+        await deployment.kill('backend bookings-0')
+        reader, writer = await asyncio.open_connection(
+            *deployment.pairs[1].node,
+        )
+        writer.write(PLAIN)
+        await reader.read()
+        writer.close()
+        explained = await command('explain', 'plain-1', entry)
+    assert f'choice: attempt 1 chose {owner} of {owner} (' in explained.out
+    assert 'attempt 1 failed: not_sent' in explained.out
+
+
 @asynchronous
 async def test_wrong_token_changes_nothing():
     """Without the token a command says so and fails."""
