Show the ids of failed requests in logs and metrics

Cause: request ids went through records only; a log line or a counter of failures led to no request.

Change: a request that may have run is logged with its id, service, code, step and peer, one that did not run at debug level, since those come by the thousand in a flood. Counters of failures carry the id as an exemplar, shown to collectors that ask for OpenMetrics; ids stay out of labels. The hop's bench prints how much memory grew for each call.

Test: test_failed_request_shows_in_metrics_and_logs reads both from a running node.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -29,6 +29,7 @@
 _US_PER_MS: Final = 1000
 _TICKS_PER_S: Final = 100
 _TIMEOUT_S: Final = 5
+_BYTES_PER_MB: Final = 1_048_576
 _RATES: Final = (50, 200, 600)
 
 Way = Callable[[], Awaitable[None]]
@@ -71,10 +72,14 @@
         async with Client((str(pair.node),), 'bench') as client:
             ways = (_direct(pool, pair.backend_server), _hop(client))
             _say('calls/s  way      p50 ms  p99 ms  node cpu us/call')
+            before_mb = _resident_mb(pid)
             for rate in rates:
                 await _measure_rate(ways, rate, rounds, round_s, pid)
         pool.close()
+        calls = int(round_s * sum(rates)) * rounds
+        grown_bytes = (_resident_mb(pid) - before_mb) * _BYTES_PER_MB
         _say(f'node resident memory: {_resident_mb(pid):.1f} MB')
+        _say(f'grown by {grown_bytes / calls:.0f} bytes a call of {calls}')
 
 
 async def _measure_rate(
--- a/carobmoor/node/_account.py
+++ b/carobmoor/node/_account.py
@@ -1,6 +1,7 @@
 """Counting a request that ended at this node."""
 
 import time
+from typing import Final
 
 from carobmoor.burn import (
     Cause,
@@ -12,7 +13,10 @@
 from carobmoor.explain import RequestRecord, is_sampled, keep_record
 from carobmoor.node._exchange import Exchange
 from carobmoor.node._state import NodeState
-from carobmoor.outcomes import Failure
+from carobmoor.outcomes import Failure, NotRun
+from carobmoor.telemetry import logger_for
+
+_log: Final = logger_for('requests')
 
 
 def account(
@@ -28,7 +32,16 @@
     context = exchange.context
     rank = context.rank or node.default_rank
     outcome = 'answered' if failure is None else failure.code.value
-    node.count(context.service, rank, outcome, exchange.started_s)
+    failed_id = '' if failure is None else context.request_id
+    node.count(
+        context.service,
+        rank,
+        outcome,
+        exchange.started_s,
+        failed_id,
+    )
+    if failure is not None:
+        _log_failure(exchange, failure)
     took_s = time.monotonic() - exchange.started_s
     cause = _cause(node, exchange, took_s, failure)
     is_bad = failure is not None or cause is not None
@@ -39,6 +52,19 @@
         record(node.burn, context.service, rank, took_s, cause, time.time())
 
 
+def _log_failure(exchange: Exchange, failure: Failure) -> None:
+    """Log a failure; "not run" comes by the thousand in a flood."""
+    log = _log.debug if isinstance(failure, NotRun) else _log.warning
+    log(
+        'Request failed.',
+        request_id=exchange.context.request_id,
+        service=exchange.context.service,
+        code=failure.code.value,
+        step=failure.step,
+        peer=failure.peer,
+    )
+
+
 def _explain(
     node: NodeState,
     exchange: Exchange,
--- a/carobmoor/node/_control.py
+++ b/carobmoor/node/_control.py
@@ -28,6 +28,9 @@
 from carobmoor.routing import encode_report
 
 _PREFIX: Final = '/_carobmoor'
+_TEXT_TYPE: Final = b'text/plain; version=0.0.4'
+_OPEN_METRICS: Final = b'application/openmetrics-text'
+_OPEN_TYPE: Final = b'application/openmetrics-text; version=1.0.0'
 _MOST_LISTED: Final = 100
 
 
@@ -92,9 +95,13 @@
     async def policy() -> Response:
         return as_json(OK, policy_of(node.dispatcher))
 
-    async def metrics() -> Response:
+    async def metrics(request: Request) -> Response:
         set_gauges(node)
-        content = Content(b'text/plain; version=0.0.4', node.metrics.render())
+        accepted = request.get_first_header(b'accept') or b''
+        if _OPEN_METRICS in accepted:
+            content = Content(_OPEN_TYPE, node.metrics.render_open())
+        else:
+            content = Content(_TEXT_TYPE, node.metrics.render())
         return Response(OK, content=content)
 
     async def explain(request: Request, request_id: str) -> Response:
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -131,10 +131,17 @@
         rank: str,
         outcome: str,
         started_s: float,
+        failed_id: str,
     ) -> None:
-        """Count a request that ended here."""
+        """Count a request that ended here; `failed_id` names a failed one."""
         took_s = time.monotonic() - started_s
-        self.metrics.count_request(service, rank, outcome, took_s)
+        self.metrics.count_request(
+            service,
+            rank,
+            outcome,
+            took_s,
+            failed_id,
+        )
 
     def _nodes_of_service(self) -> Sequence[str]:
         """Give the nodes that may run requests of this node's service."""
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -7,7 +7,11 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.openmetrics.exposition import (
+    generate_latest as generate_open,
+)
 
+_LONGEST_EXEMPLAR = 64
 _LATENCY_BUCKETS_S = (
     0.001,
     0.0025,
@@ -112,9 +116,13 @@
         rank: str,
         outcome: str,
         took_s: float,
+        failed_id: str = '',
     ) -> None:
         """Count a request that ended here and the time it took.
 
+        The id of a failed request goes along as an exemplar, which shows in
+        the OpenMetrics format only; ids are never labels.
+
         The children of a metric are kept, since looking one up by its labels
         costs more than counting.
         """
@@ -125,9 +133,14 @@
                 self.latency.labels(service, rank),
             )
             self._counted[service, rank, outcome] = counted
-        counted[0].inc()
+        exemplar = {'request_id': failed_id[:_LONGEST_EXEMPLAR]}
+        counted[0].inc(1, exemplar if failed_id else None)
         counted[1].observe(took_s)
 
     def render(self) -> bytes:
         """Write the metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
+
+    def render_open(self) -> bytes:
+        """Write the metrics in the OpenMetrics format, with exemplars."""
+        return generate_open(self.registry)
--- a/tests/test_metrics_path.py
+++ b/tests/test_metrics_path.py
@@ -15,11 +15,18 @@
 NAMED = re.compile('carobmoor_[a-z_]+')
 
 
-async def read(deployment: Deployment, target: str) -> str:
+async def read(
+    deployment: Deployment,
+    target: str,
+    accept: str = 'text/plain',
+) -> str:
     """Read a control path as text."""
     node = deployment.pairs[0].node
     reader, writer = await asyncio.open_connection(*node)
-    head = f'GET {target} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+    head = (
+        f'GET {target} HTTP/1.1\r\nhost: a\r\naccept: {accept}\r\n'
+        'connection: close\r\n\r\n'
+    )
     writer.write(head.encode())
     answer = await reader.read()
     writer.close()
@@ -51,3 +58,26 @@
         document = await read(deployment, '/_carobmoor/openapi.json')
     for path in ('status', 'configuration', 'drain', 'quarantine', 'burn'):
         assert f'"/_carobmoor/{path}"' in document
+
+
+@asynchronous
+async def test_failed_request_shows_in_metrics_and_logs():
+    """The id of a request that may have run stands in both."""
+    headers = ((b'x-service-ms', b'5000'),)
+    call = Call(
+        'bookings',
+        'POST',
+        '/x',
+        headers=headers,
+        timeout_ms=200,
+        request_id='the-lost-one',
+    )
+    async with running(PLACE) as deployment, client_of(deployment) as client:
+        failed = await client.call(call)
+        kind = 'application/openmetrics-text'
+        text = await read(deployment, '/_carobmoor/metrics', kind)
+        log = (deployment.folder / 'bookings-0.log').read_text()
+    assert failed.unwrap_err().code == 'outcome_unknown'
+    assert '# {request_id="the-lost-one"}' in text
+    told = [line for line in log.splitlines() if 'the-lost-one' in line]
+    assert '"[requests] Request failed."' in told[0]
