Let a plain caller's request wait for a node that starts

Cause: a whole run from a fresh clone, beside another one, failed test_stop_and_upgrade_under_load_cut_nothing: a plain caller got another status than 200 around an upgrade; the other run of the two passed (535 tests). Which status it was is not known, the test prints it from now on.

Ruled out: nothing for certain; neither 11 runs of the test without this change nor 11 with it showed the fault, eight of each at once.

Change: a request of a plain caller waits up to 5 s for the first configuration; one that names an owner is refused at once, as before.

Conclusion: kept as an improvement; the fault is not proven mended.

--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -1,5 +1,7 @@
 """The path of a request through a node."""
 
+import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
@@ -27,6 +29,8 @@
 from carobmoor.transport import Answer, HeaderList, parse_address
 
 _MS_PER_S: Final = 1000
+# How long a plain caller's request waits for a node that starts.
+_READY_PATIENCE_S: Final = 5
 
 Application = Callable[[Any, Receive, Send], Awaitable[None]]
 
@@ -122,11 +126,24 @@
     return None
 
 
+async def _is_ready(node: NodeState, context: RequestContext) -> bool:
+    """Tell whether a configuration is in force.
+
+    A plain caller waits for that a while, since it has no other node at hand;
+    the library, which names an owner, is refused at once and goes elsewhere.
+    """
+    if not node.has_configuration.is_set() and not context.owner:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_READY_PATIENCE_S):
+                await node.has_configuration.wait()
+    return node.has_configuration.is_set()
+
+
 async def _declared(
     node: NodeState,
     context: RequestContext,
 ) -> Result[ServiceDocument, NotRun]:
-    if node.configuration.accepted is None:
+    if not await _is_ready(node, context):
         return Err(NotRun(Code.NOT_READY, 'configuration', node.here))
     declared = await node.configuration.declared(context.service)
     if declared is None:
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -1,5 +1,6 @@
 """The state of a node that its parts share."""
 
+import asyncio
 import random
 import time
 from collections.abc import Mapping, Sequence
@@ -95,6 +96,8 @@
         )
         self.stalls = StallWatch(time.monotonic())
         self.tickets = TicketTable(self.here, TicketPolicy(), time.monotonic())
+        # Set once a configuration is in force.
+        self.has_configuration = asyncio.Event()
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
 
@@ -160,6 +163,7 @@
         document = accepted.document
         names = [rank['name'] for rank in document['ranks']]
         self.rank_names = frozenset(names)
+        self.has_configuration.set()
         self.default_rank = names[-1]
         self.dispatcher.routing.replace_policy(routing_policy_of(document))
         self.dispatcher.retries.replace_policy(retry_policy_of(document))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -136,7 +136,7 @@
         counts = await all_starts(deployment)
     assert code == 0
     assert failed == []
-    assert set(plain.statuses) == {b'200'}
+    assert set(plain.statuses) == {b'200'}, plain.statuses
     answered = len(load.answers) + plain.statuses[b'200']
     assert len(counts) == counts.total() == answered
 
