--- a/carobmoor/__init__.py
+++ b/carobmoor/__init__.py
@@ -4,14 +4,18 @@
 `carobmoor node --settings FILE`.
 """
 
-from carobmoor.client import (
-    Call,
-    CallAnswer,
-    CallContext,
-    Client,
-    read_call_context,
-)
-from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from importlib import import_module
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from carobmoor.client import (
+        Call,
+        CallAnswer,
+        CallContext,
+        Client,
+        read_call_context,
+    )
+    from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 
 __all__ = [
     'Call',
@@ -24,3 +28,16 @@
     'Unknown',
     'read_call_context',
 ]
+
+_OUTCOMES: Final = frozenset(('Code', 'Failure', 'NotRun', 'Unknown'))
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name when it is first used.
+
+    A mesh node needs none of the library for callers, and its memory counts.
+    """
+    if name not in __all__:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    slice_name = 'outcomes' if name in _OUTCOMES else 'client'
+    return getattr(import_module(f'carobmoor.{slice_name}'), name)
--- a/carobmoor/configuration/_collect.py
+++ b/carobmoor/configuration/_collect.py
@@ -14,7 +14,7 @@
     make_change,
 )
 from carobmoor.configuration._store import load_piece
-from carobmoor.platform import Platform
+from carobmoor.store import Platform
 
 PIECES_TARGET: Final = '/_carobmoor/configuration/pieces'
 _MOST_SOURCES: Final = 4
--- a/carobmoor/configuration/_follow.py
+++ b/carobmoor/configuration/_follow.py
@@ -31,7 +31,7 @@
     load_manifest,
     read_head,
 )
-from carobmoor.platform import Platform, jitter
+from carobmoor.store import Platform, jitter
 from carobmoor.telemetry import logger_for
 
 SINCE_TARGET: Final = '/_carobmoor/configuration/since'
--- a/carobmoor/configuration/_publish.py
+++ b/carobmoor/configuration/_publish.py
@@ -34,7 +34,7 @@
     write_head,
     write_history,
 )
-from carobmoor.platform import Platform, StoreFailure, jitter
+from carobmoor.store import Platform, StoreFailure, jitter
 
 _SETTLE_TRIES: Final = 4
 _SETTLE_WAIT_S: Final = 0.3
--- a/carobmoor/configuration/_store.py
+++ b/carobmoor/configuration/_store.py
@@ -13,7 +13,7 @@
 
 from carobmoor.configuration._document import Document
 from carobmoor.configuration._pieces import Manifest, digest_of
-from carobmoor.platform import Platform, Row, StoreFailure, StoreFault
+from carobmoor.store import Platform, Row, StoreFailure, StoreFault
 
 _TABLE: Final = 'configuration'
 _HEAD_KEY: Final = 'head'
--- a/carobmoor/configuration/tests/test_follow.py
+++ b/carobmoor/configuration/tests/test_follow.py
@@ -23,7 +23,7 @@
     Nodes,
     submission,
 )
-from carobmoor.platform.tests.fixtures import FakePlatform
+from carobmoor.store.tests.fixtures import FakePlatform
 
 COUNT = 4
 ALL = tuple(str(number) for number in range(COUNT))
--- a/carobmoor/configuration/tests/test_publish.py
+++ b/carobmoor/configuration/tests/test_publish.py
@@ -17,8 +17,8 @@
     no_waits,
     submission,
 )
-from carobmoor.platform import StoreFailure
-from carobmoor.platform.tests.fixtures import FakePlatform, scripted
+from carobmoor.store import StoreFailure
+from carobmoor.store.tests.fixtures import FakePlatform, scripted
 
 # The read of the head, the document, the manifest and three pieces.
 ALL_BEFORE_THE_HEAD = ('ok', 'ok', 'ok', 'ok', 'ok', 'ok')
--- a/carobmoor/configuration/tests/test_racing.py
+++ b/carobmoor/configuration/tests/test_racing.py
@@ -18,7 +18,7 @@
     no_waits,
     submission,
 )
-from carobmoor.platform.tests.fixtures import FakePlatform, scripted
+from carobmoor.store.tests.fixtures import FakePlatform, scripted
 
 _IDLE_TURNS = 60
 
--- a/carobmoor/idempotency/_claims.py
+++ b/carobmoor/idempotency/_claims.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from carobmoor.idempotency._messages import Claim, decode_claim, encode_claim
-from carobmoor.platform import Platform, Row, StoreFailure, StoreFault
+from carobmoor.store import Platform, Row, StoreFailure, StoreFault
 
 _TABLE: Final = 'idempotency'
 _DIGEST_BYTES: Final = 16
--- a/carobmoor/idempotency/_clean.py
+++ b/carobmoor/idempotency/_clean.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from carobmoor.idempotency._claims import clean_share
-from carobmoor.platform import Platform
+from carobmoor.store import Platform
 
 _KEEP_S: Final = 86_400
 _INTERVAL_S: Final = 600
--- a/carobmoor/membership/_gossip.py
+++ b/carobmoor/membership/_gossip.py
@@ -32,7 +32,7 @@
 from carobmoor.membership._state import MembershipState
 from carobmoor.membership._sync import Peers, synchronise
 from carobmoor.membership._targets import Targets
-from carobmoor.platform import jitter
+from carobmoor.store import jitter
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import Address, ConnectionPool, parse_address
 
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -17,7 +17,7 @@
 from carobmoor.membership._rendezvous import is_chosen
 from carobmoor.membership._state import MembershipState
 from carobmoor.membership._sync import ask_helpers
-from carobmoor.platform import Platform, Row, jitter
+from carobmoor.store import Platform, Row, jitter
 from carobmoor.transport import Address, parse_address
 
 _TABLE: Final = 'seeds'
--- a/carobmoor/membership/tests/test_sync.py
+++ b/carobmoor/membership/tests/test_sync.py
@@ -21,7 +21,7 @@
     synchronise,
 )
 from carobmoor.membership.tests.fixtures import member, state_of
-from carobmoor.platform.tests.fixtures import FakePlatform
+from carobmoor.store.tests.fixtures import FakePlatform
 from carobmoor.transport import ConnectionPool, parse_address
 
 ME = member(0)
--- /dev/null
+++ b/carobmoor/mesh/__init__.py
@@ -0,0 +1,31 @@
+"""A light node beside each backend server, for deployments with routes.
+
+Callers on an instance send their requests to their own node. It finds the
+route, chooses the backend server that is likely to finish first by load that
+is milliseconds old, and sends the request to the node beside that server,
+which decides whether it runs.
+"""
+
+from carobmoor.mesh._daemon import MeshParts, run_mesh_node
+from carobmoor.mesh._follow import RouteSource, Store
+from carobmoor.mesh._messages import (
+    Announcement,
+    HeaderNames,
+    MeshBounds,
+    MeshSettings,
+    Standing,
+)
+from carobmoor.mesh._state import MeshNode
+
+__all__ = [
+    'Announcement',
+    'HeaderNames',
+    'MeshBounds',
+    'MeshNode',
+    'MeshParts',
+    'MeshSettings',
+    'RouteSource',
+    'Standing',
+    'Store',
+    'run_mesh_node',
+]
--- /dev/null
+++ b/carobmoor/mesh/_attempt.py
@@ -0,0 +1,219 @@
+"""One attempt: the choice of an owner, and the send to it."""
+
+import time
+from collections.abc import AsyncIterator, Sequence
+from typing import Final
+
+from result import Err, Ok, Result
+
+from carobmoor.mesh._choose import Wanted, choose
+from carobmoor.mesh._datagrams import LOAD_HEADER, Load, decode_datagram
+from carobmoor.mesh._hop import HOP_HEADER, Hop, encode_hop
+from carobmoor.mesh._order import Order, Running, failure_of
+from carobmoor.mesh._owner import run_here
+from carobmoor.mesh._peers import Peer
+from carobmoor.mesh._pursuit import Pursuit
+from carobmoor.mesh._state import MeshNode
+from carobmoor.outcomes import (
+    OUTCOME_HEADER,
+    Code,
+    Failure,
+    NotRun,
+    Unknown,
+    decode_failure,
+)
+from carobmoor.routing import FAR
+from carobmoor.transport import (
+    Answer,
+    AnswerBroken,
+    HeaderList,
+    OutgoingRequest,
+    end_to_end,
+    header_of,
+    read_whole,
+    send,
+)
+
+_MS_PER_S: Final = 1000
+_BYTES_PER_KB: Final = 1000
+_MOST_REFUSAL_BYTES: Final = 65_536
+# How long a node is left alone that took no connection.
+_DOWN_S: Final = 1.0
+_CONNECT_S: Final = 0.4
+# What an answer and the heads of both ways take of a link.
+_SMALL_BYTES: Final = 1500
+# What a request costs between regions and zones, as a delay of equal worth.
+_FAR_MS: Final = 60
+_FAR_MS_PER_KB: Final = 4
+_NEAR_MS_PER_KB: Final = 0.5
+
+
+class RemoteAnswer:
+    """An answer that comes from another node."""
+
+    def __init__(self, answer: Answer) -> None:
+        """Take its head; the body follows in chunks."""
+        self.status = answer.head.status
+        self.headers: HeaderList = [
+            header
+            for header in end_to_end(answer.head.headers)
+            if header[0] != LOAD_HEADER
+        ]
+        self._answer = answer
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Give the body."""
+        return self._answer.chunks()
+
+
+def choose_peer(node: MeshNode, pursuit: Pursuit) -> Peer | None:
+    """Choose the owner for the next attempt; `None` when none is left."""
+    size_bytes = max(0, pursuit.body.length_bytes) + _SMALL_BYTES
+    size_kb = size_bytes / _BYTES_PER_KB
+    wanted = Wanted(
+        pursuit.service,
+        node.work.usual_ms(pursuit.route.name),
+        _FAR_MS + size_kb * _FAR_MS_PER_KB,
+        size_kb * _NEAR_MS_PER_KB,
+        pursuit.tried,
+    )
+    candidates = node.peers.of_service(pursuit.service)
+    return choose(candidates, wanted, time.monotonic(), node.rng)
+
+
+async def attempt(
+    node: MeshNode,
+    pursuit: Pursuit,
+    peer: Peer,
+) -> Result[Running, Failure]:
+    """Send the request to one owner."""
+    left_ms = pursuit.left_s * _MS_PER_S - peer.round_trip_ms / 2
+    if left_ms <= 0:
+        return Err(NotRun(Code.DEADLINE_LAPSED, 'choice', str(peer.address)))
+    hop = Hop(
+        pursuit.service,
+        peer.record.instance_id,
+        pursuit.route.kind,
+        pursuit.route.priority,
+        left_ms,
+        node.work.usual_ms(pursuit.route.name),
+        _may_bounce(node, pursuit, peer),
+    )
+    headers = _headers_of(node, pursuit)
+    peer.in_flight += 1
+    try:
+        if peer.is_self:
+            return await run_here(node, _order(node, pursuit, hop, headers))
+        return await _send_to(node, pursuit, peer, hop, headers)
+    finally:
+        peer.in_flight -= 1
+
+
+def _may_bounce(node: MeshNode, pursuit: Pursuit, peer: Peer) -> bool:
+    """Tell whether another owner nearby could take the request instead."""
+    if peer.address in pursuit.bounced or pursuit.body.rest is not None:
+        return False
+    return any(
+        other is not peer
+        and other.distance != FAR
+        and other.address not in pursuit.tried
+        and other.address not in pursuit.bounced
+        for other in node.peers.of_service(pursuit.service)
+    )
+
+
+def _headers_of(
+    node: MeshNode,
+    pursuit: Pursuit,
+) -> Sequence[tuple[bytes, bytes]]:
+    names = node.names
+    managed = {names.caller_service, names.expected_instance, HOP_HEADER}
+    headers = [
+        header
+        for header in end_to_end(pursuit.request.headers)
+        if header[0] not in managed
+    ]
+    headers.append((names.caller_service, node.settings.service.encode()))
+    return headers
+
+
+def _order(
+    node: MeshNode,
+    pursuit: Pursuit,
+    hop: Hop,
+    headers: Sequence[tuple[bytes, bytes]],
+) -> Order:
+    request = pursuit.request
+    return Order(
+        hop,
+        header_of(headers, node.names.request_id).encode('latin-1'),
+        request.method,
+        request.target.decode('latin-1'),
+        headers,
+        pursuit.body,
+        request.lost,
+    )
+
+
+async def _send_to(
+    node: MeshNode,
+    pursuit: Pursuit,
+    peer: Peer,
+    hop: Hop,
+    headers: Sequence[tuple[bytes, bytes]],
+) -> Result[Running, Failure]:
+    outgoing = OutgoingRequest(
+        pursuit.request.method,
+        pursuit.request.target.decode('latin-1'),
+        (*headers, (HOP_HEADER, encode_hop(hop))),
+        pursuit.body.first,
+        pursuit.body.rest,
+    )
+    started_s = time.monotonic()
+    sent = await send(
+        node.node_pool,
+        peer.address,
+        outgoing,
+        pursuit.left_s,
+        _CONNECT_S,
+    )
+    if isinstance(sent, Err):
+        failure = failure_of(sent.err_value)
+        _note_lost(node, peer, failure, started_s)
+        return Err(failure)
+    answer = sent.ok_value
+    load = decode_datagram(header_of(answer.head.headers, LOAD_HEADER))
+    if isinstance(load, Load):
+        peer.note_load(load, time.monotonic())
+    if not header_of(answer.head.headers, OUTCOME_HEADER.encode()):
+        return Ok(RemoteAnswer(answer))
+    return Err(await _read_refusal(node, pursuit, answer))
+
+
+def _note_lost(
+    node: MeshNode,
+    peer: Peer,
+    failure: Failure,
+    started_s: float,
+) -> None:
+    now_s = time.monotonic()
+    # Other connections to it may be as dead as this one.
+    node.node_pool.forget(peer.address)
+    if isinstance(failure, NotRun) and peer.heard_at_s < started_s:
+        peer.down_until_s = now_s + _DOWN_S
+    peer.success.note(False, now_s)
+
+
+async def _read_refusal(
+    node: MeshNode,
+    pursuit: Pursuit,
+    answer: Answer,
+) -> Failure:
+    headers = pursuit.request.headers
+    request_id = header_of(headers, node.names.request_id)
+    peer = str(answer.address)
+    try:
+        body = await read_whole(answer, _MOST_REFUSAL_BYTES)
+    except AnswerBroken as broken:
+        return Unknown('answer', peer, broken.failure.reason)
+    return decode_failure(body, request_id, peer)
--- /dev/null
+++ b/carobmoor/mesh/_choose.py
@@ -0,0 +1,110 @@
+"""The choice of the backend server that is likely to finish first."""
+
+import random
+from collections.abc import Collection, Sequence
+from typing import Final, NamedTuple
+
+from carobmoor.mesh._peers import Peer
+from carobmoor.transport import Address
+
+_USUAL_PERCENT: Final = 100
+_PERMILLE: Final = 1000
+_MS_PER_S: Final = 1000
+# Beyond this share of busy slots work takes longer.
+_KNEE: Final = 0.75
+_KNEE_SLOPE: Final = 2.5
+# What a lost attempt costs besides its own time.
+_FAILURE_MS: Final = 400
+# Predictions closer than this are taken as equal.
+_NOISE_MS: Final = 2
+_LEAST_SUCCESS: Final = 0.05
+
+
+class Wanted(NamedTuple):
+    """A request for which a server is chosen."""
+
+    service: str
+    # What it usually takes on a server at its usual pace.
+    work_ms: float
+    # What sending it to another region costs, as a delay of equal worth.
+    far_ms: float
+    near_ms: float
+    tried: Collection[Address] = ()
+
+
+def choose(
+    candidates: Sequence[Peer],
+    wanted: Wanted,
+    now_s: float,
+    rng: random.Random,
+) -> Peer | None:
+    """Give the candidate with the earliest predicted finish, or `None`.
+
+    Candidates that were tried are left out; those that seem down are taken
+    only when there are no others.
+    """
+    best: Peer | None = None
+    best_ms = float('inf')
+    for peer in candidates:
+        if peer.address in wanted.tried:
+            continue
+        cost_ms = predict_ms(peer, wanted, now_s)
+        cost_ms += _NOISE_MS * rng.random()
+        if peer.down_until_s > now_s:
+            cost_ms += _FAILURE_MS * _MS_PER_S
+        if cost_ms < best_ms:
+            best = peer
+            best_ms = cost_ms
+    return best
+
+
+def predict_ms(peer: Peer, wanted: Wanted, now_s: float) -> float:
+    """Predict how long a request takes there, and what its way is worth."""
+    slots = max(1, peer.record.slots)
+    load = (_busy(peer) + 1) / slots
+    crowding = 1 + _KNEE_SLOPE * max(0, min(1, load) - _KNEE)
+    work_ms = wanted.work_ms * crowding
+    queue_ms = wanted.work_ms * max(0, load - 1)
+    success = max(_LEAST_SUCCESS, _success(peer, now_s))
+    failing_ms = (1 - success) / success * _FAILURE_MS
+    way_ms = (
+        peer.round_trip_ms + (0, wanted.near_ms, wanted.far_ms)[peer.distance]
+    )
+    return (
+        way_ms
+        + queue_ms
+        + work_ms
+        + failing_ms
+        + _slow_ms(peer, work_ms, now_s)
+    )
+
+
+def _busy(peer: Peer) -> float:
+    load = peer.load
+    if load is None:
+        return peer.in_flight
+    sent_since = max(0, peer.in_flight - peer.in_flight_then)
+    return max(peer.in_flight, load.running + load.waiting + sent_since)
+
+
+def _slow_ms(peer: Peer, work_ms: float, now_s: float) -> float:
+    """Predict the delay by a pace that is told to be slow just now."""
+    load = peer.load
+    if load is None or load.pace_percent <= _USUAL_PERCENT:
+        return 0
+    slowness = load.pace_percent / _USUAL_PERCENT
+    age_ms = (now_s - peer.load_at_s) * _MS_PER_S
+    hold_ms = max(1, load.pace_hold_ms)
+    left_ms = max(hold_ms / 4, hold_ms - age_ms)
+    still_so = max(0, 1 - age_ms / (2 * hold_ms))
+    return still_so * min(
+        work_ms * (slowness - 1), left_ms * (1 - 1 / slowness)
+    )
+
+
+def _success(peer: Peer, now_s: float) -> float:
+    own = peer.success.at(now_s)
+    load = peer.load
+    if load is None:
+        return own
+    return min(own, load.success_permille / _PERMILLE)
--- /dev/null
+++ b/carobmoor/mesh/_daemon.py
@@ -0,0 +1,148 @@
+"""The life of a mesh node: start, serve, stop."""
+
+import asyncio
+import functools
+import gc
+import signal
+import time
+from collections.abc import Sequence
+from typing import Final
+
+from carobmoor.mesh._announce import (
+    Read,
+    serve_announcement,
+    serve_readiness,
+)
+from carobmoor.mesh._follow import Follower, RouteSource, Store
+from carobmoor.mesh._forward import serve_caller
+from carobmoor.mesh._measure import measure
+from carobmoor.mesh._members import Membership
+from carobmoor.mesh._news import NewsDesk
+from carobmoor.mesh._serve_hop import serve_node
+from carobmoor.mesh._state import MeshNode
+from carobmoor.telemetry import logger_for
+from carobmoor.transport import Listener, ServingLimits
+
+_MS_PER_S: Final = 1000
+_STEP_S: Final = 0.05
+# No request for so long means that callers know that this node stops.
+_QUIET_S: Final = 2.5
+# Kept of the time to stop, to end what still runs.
+_STOP_MARGIN_S: Final = 0.4
+_DEFAULT_LONGEST_S: Final = 2
+_COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
+_log = logger_for('node')
+
+
+class MeshParts:
+    """The tasks' owners of one node."""
+
+    def __init__(
+        self,
+        node: MeshNode,
+        store: Store,
+        source: RouteSource,
+        read: Read,
+    ) -> None:
+        """Make the parts around a node; nothing runs yet."""
+        self.node = node
+        self.follower = Follower(node, store, source)
+        self.desk = NewsDesk(node, self.follower.hear_version)
+        self.members = Membership(node, store, self.desk)
+        plain = ServingLimits()
+        self.callers = Listener(
+            functools.partial(serve_caller, node),
+            node.limits,
+        )
+        self.nodes = Listener(
+            functools.partial(serve_node, node),
+            lambda: plain,
+        )
+        self.readiness = Listener(
+            functools.partial(serve_readiness, node),
+            lambda: plain,
+        )
+        self.announcements = Listener(
+            functools.partial(serve_announcement, node, self.desk, read),
+            lambda: plain,
+        )
+
+
+async def run_mesh_node(parts: MeshParts) -> None:
+    """Run a node until it is told to stop and has left gracefully."""
+    node = parts.node
+    settings = node.settings
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopping.set)
+    own = node.peers.learn(node.record(), settings.region)
+    own.is_self = True
+    own.round_trip_ms = 0
+    await parts.desk.open()
+    await parts.announcements.listen(settings.announce_address)
+    await parts.nodes.listen(settings.node_address)
+    await parts.callers.listen(settings.caller_address)
+    await parts.readiness.listen(settings.readiness_address)
+    _log.info('Node starts.', node=settings.name, service=settings.service)
+    tasks = _start(parts)
+    _quiet_collector()
+    await stopping.wait()
+    await _leave(parts)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    _log.info('Node stopped.', node=settings.name)
+
+
+def _start(parts: MeshParts) -> Sequence[asyncio.Task[None]]:
+    node = parts.node
+    duties = (
+        parts.follower.run(),
+        parts.members.run(),
+        parts.desk.run(),
+        measure(node, node.pace, parts.desk),
+        node.gate.watch(),
+    )
+    return [asyncio.create_task(duty) for duty in duties]
+
+
+async def _leave(parts: MeshParts) -> None:
+    """Stop without cutting a request: callers first, then the rest.
+
+    Requests are taken as long as they can end before the process is killed.
+    """
+    node = parts.node
+    started_s = time.monotonic()
+    stop_s = node.settings.bounds.stop_ms / _MS_PER_S - _STOP_MARGIN_S
+    node.is_leaving = True
+    node.refuses_from_s = started_s + max(0.5, stop_s - _longest_s(node))
+    _log.info('Node stops.', in_hand=node.in_hand)
+    parts.desk.tell_change()
+    node.gate.refuse_waiting()
+    while time.monotonic() < started_s + stop_s:
+        await asyncio.sleep(_STEP_S)
+        idle_s = time.monotonic() - max(node.last_request_s, started_s)
+        busy = node.in_hand or node.gate.state.in_flight_total
+        if not busy and idle_s > _QUIET_S:
+            break
+    parts.callers.close()
+    parts.nodes.close()
+    await asyncio.sleep(_STEP_S)
+
+
+def _longest_s(node: MeshNode) -> float:
+    if node.table is None:
+        return _DEFAULT_LONGEST_S
+    return max(
+        route.timeout_ms / _MS_PER_S
+        for by_prefix in node.table.routes.values()
+        for route in by_prefix.values()
+    )
+
+
+def _quiet_collector() -> None:
+    """Keep the collector from pausing requests over long-lived objects."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_COLLECTOR_THRESHOLDS)
--- /dev/null
+++ b/carobmoor/mesh/_forward.py
@@ -0,0 +1,120 @@
+"""A caller's request: its route, its attempts, and its one answer."""
+
+import asyncio
+import time
+from http import HTTPStatus
+from typing import Final
+
+from result import Err, Ok, Result
+
+from carobmoor.mesh._attempt import attempt, choose_peer
+from carobmoor.mesh._order import until_lost
+from carobmoor.mesh._pursuit import Pursuit, discard_body, read_body
+from carobmoor.mesh._relay import pass_on
+from carobmoor.mesh._replies import give_up, refuse, request_id_of, respond
+from carobmoor.mesh._state import MeshNode
+from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from carobmoor.routes import Route, RouteTable, find_route
+from carobmoor.telemetry import logger_for
+from carobmoor.transport import CallerLost, IncomingRequest, header_of
+
+_MS_PER_S: Final = 1000
+_DEFAULT_DEADLINE_MS: Final = 10_000
+# Kept of the time left, so that the answer still reaches the caller.
+_ANSWER_MARGIN_MS: Final = 10
+_log = logger_for('forward')
+
+
+async def serve_caller(node: MeshNode, request: IncomingRequest) -> None:
+    """Answer a request of a caller on this instance."""
+    node.in_hand += 1
+    node.last_request_s = time.monotonic()
+    try:
+        await _serve(node, request)
+    finally:
+        node.in_hand -= 1
+
+
+async def _serve(node: MeshNode, request: IncomingRequest) -> None:
+    table = node.table
+    if table is None or time.monotonic() > node.refuses_from_s:
+        await discard_body(request)
+        refuse(node, request)
+        return
+    route = _route_of(table, request)
+    if route is None:
+        await discard_body(request)
+        respond(node, request, HTTPStatus.NOT_FOUND)
+        return
+    pursuit = _begin(node, request, route)
+    try:
+        async with asyncio.timeout(max(0, pursuit.left_s)):
+            pursued = await until_lost(request.lost, _pursue(node, pursuit))
+    except TimeoutError:
+        pursued = Err(Unknown('deadline', '', 'no answer in time'))
+    except CallerLost:
+        _log.info('Caller left.', request_id=request_id_of(node, request))
+        raise
+    if isinstance(pursued, Err):
+        give_up(node, pursuit, pursued.err_value)
+
+
+def _route_of(table: RouteTable, request: IncomingRequest) -> Route | None:
+    host = header_of(request.headers, b'host')
+    path = request.target.partition(b'?')[0].decode('latin-1')
+    return find_route(table, host, path)
+
+
+def _begin(
+    node: MeshNode,
+    request: IncomingRequest,
+    route: Route,
+) -> Pursuit:
+    now_s = time.monotonic()
+    limit_ms = min(_deadline_ms(node, request), route.timeout_ms)
+    service = node.splits.next_service(route)
+    node.budget.note_request(service, now_s)
+    deadline_s = now_s + (limit_ms - _ANSWER_MARGIN_MS) / _MS_PER_S
+    return Pursuit(request, route, service, deadline_s)
+
+
+def _deadline_ms(node: MeshNode, request: IncomingRequest) -> float:
+    told = header_of(request.headers, node.names.deadline_ms)
+    return float(told) if told.isdigit() else _DEFAULT_DEADLINE_MS
+
+
+async def _pursue(node: MeshNode, pursuit: Pursuit) -> Result[None, Failure]:
+    """Read the body, then try owners until one answers."""
+    pursuit.body = await read_body(pursuit.request)
+    while True:
+        peer = choose_peer(node, pursuit)
+        if peer is None:
+            return Err(_no_candidate(pursuit))
+        pursuit.tried.append(peer.address)
+        started_s = time.monotonic()
+        sent = await attempt(node, pursuit, peer)
+        if await pass_on(node, pursuit, peer, sent):
+            took_ms = (time.monotonic() - started_s) * _MS_PER_S
+            node.work.note(pursuit.route.name, took_ms)
+            return Ok(None)
+        if not _may_go_on(node, pursuit):
+            return Err(_no_candidate(pursuit))
+
+
+def _no_candidate(pursuit: Pursuit) -> Failure:
+    return pursuit.last_failure or NotRun(
+        Code.NO_CANDIDATE,
+        'choice',
+        pursuit.service,
+    )
+
+
+def _may_go_on(node: MeshNode, pursuit: Pursuit) -> bool:
+    if pursuit.may_have_run and not pursuit.may_repeat:
+        return False
+    if not pursuit.may_try_again:
+        return False
+    if not pursuit.sends:
+        return True
+    nodes = sum(1 for _ in node.peers)
+    return node.budget.take(pursuit.service, nodes, time.monotonic())
--- /dev/null
+++ b/carobmoor/mesh/_news.py
@@ -0,0 +1,194 @@
+"""News between nodes by datagrams: who is there, and how loaded."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+from carobmoor.mesh._datagrams import (
+    Datagram,
+    Hello,
+    Load,
+    NodeRecord,
+    decode_datagram,
+    encode_datagram,
+)
+from carobmoor.mesh._peers import Peer
+from carobmoor.mesh._state import MeshNode
+from carobmoor.routing import FAR
+from carobmoor.telemetry import logger_for
+
+_US_PER_S: Final = 1_000_000
+_MS_PER_S: Final = 1000
+_ROUND_TRIP_SMOOTHING: Final = 0.2
+# A node in the region that is silent for so long seems down.
+_SILENCE_S: Final = 0.8
+# Each node tells its load at least so often.
+_PULSE_S: Final = 0.25
+# Nodes in other regions, to which each byte is dear, are greeted this rarely.
+_FAR_PULSE_S: Final = 5
+_TICK_S: Final = 0.05
+_FIRST_GREETING_S: Final = 0.2
+_MOST_GREETING_S: Final = 2
+_log = logger_for('news')
+
+
+class NewsDesk(asyncio.DatagramProtocol):
+    """Tells other nodes of this one and learns from what they tell."""
+
+    def __init__(
+        self,
+        node: MeshNode,
+        on_version: Callable[[int, Peer], None],
+    ) -> None:
+        """Call `on_version` when a node has a newer version of the routes."""
+        self._node = node
+        self._on_version = on_version
+        self._transport: asyncio.DatagramTransport | None = None
+        self._told_at_s = float(0)
+
+    async def open(self) -> None:
+        """Open the socket."""
+        settings = self._node.settings
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(settings.ip, settings.news_port),
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket; called by the event loop."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, content: bytes, sender: Any) -> None:
+        """Take in one datagram; what is unreadable is dropped."""
+        told = decode_datagram(content)
+        if isinstance(told, Hello):
+            self._hear_hello(told)
+        elif isinstance(told, Load):
+            self._hear_load(told, sender[0])
+
+    def error_received(self, error: Exception) -> None:
+        """Leave alone what the network says of one datagram."""
+
+    async def run(self) -> None:
+        """Greet those not heard of, and pulse, until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now_s = time.monotonic()
+            if now_s - self._told_at_s >= _PULSE_S:
+                self.tell_load()
+            for peer in self._node.peers:
+                if not peer.is_self:
+                    self._tend(peer, now_s)
+
+    def learn(self, record: NodeRecord) -> Peer | None:
+        """Take in a record from the store or from another node."""
+        node = self._node
+        if record.address == node.settings.node_address:
+            return None
+        known = node.peers.at(record.ip)
+        if known is None or known.record != record:
+            _log.info(
+                'Node known.',
+                peer=str(record.address),
+                service=record.service,
+                instance=record.instance_id,
+                leaving=record.is_leaving,
+            )
+        region = node.settings.regions.get(record.availability_zone, '')
+        return node.peers.learn(record, region)
+
+    def greet(self, peer: Peer, wants_reply: bool = True) -> None:
+        """Tell a node of this one."""
+        peer.greeted_at_s = time.monotonic()
+        peer.greetings += wants_reply
+        sent_us = int(peer.greeted_at_s * _US_PER_S)
+        node = self._node
+        hello = Hello(node.record(), node.version, wants_reply, sent_us)
+        self._send(peer, hello)
+
+    def tell_change(self) -> None:
+        """Tell every node at once that this one or its server changed."""
+        self._node.revision += 1
+        own = self._node.peers.at(self._node.settings.ip)
+        if own is not None:
+            own.record = self._node.record()
+        for peer in self._node.peers:
+            if not peer.is_self:
+                peer.greetings = 0
+                self.greet(peer)
+
+    def tell_load(self) -> None:
+        """Tell the nodes of the region the load of the own server."""
+        now_s = time.monotonic()
+        self._told_at_s = now_s
+        load = self._node.load(now_s)
+        content = encode_datagram(load)
+        for peer in self._node.peers:
+            if peer.is_self:
+                peer.note_load(load, now_s)
+            elif peer.distance != FAR and peer.down_until_s <= now_s:
+                self._write(peer, content)
+
+    def _tend(self, peer: Peer, now_s: float) -> None:
+        silent_s = now_s - peer.heard_at_s
+        is_far = peer.distance == FAR
+        patience_s = _FAR_PULSE_S if is_far else _SILENCE_S
+        if silent_s < patience_s:
+            return
+        if not is_far:
+            peer.down_until_s = now_s + _SILENCE_S
+        wait_s = min(
+            _MOST_GREETING_S,
+            _FIRST_GREETING_S * 2 ** min(peer.greetings, 10),
+        )
+        if now_s - peer.greeted_at_s >= wait_s:
+            self.greet(peer)
+
+    def _hear_hello(self, hello: Hello) -> None:
+        peer = self.learn(hello.record)
+        if peer is None:
+            return
+        now_s = time.monotonic()
+        self._heard(peer, now_s, hello.version)
+        if hello.echoed_us:
+            took_ms = (now_s - hello.echoed_us / _US_PER_S) * _MS_PER_S
+            gap_ms = took_ms - peer.round_trip_ms
+            peer.round_trip_ms += _ROUND_TRIP_SMOOTHING * gap_ms
+        if hello.wants_reply:
+            node = self._node
+            sent_us = int(now_s * _US_PER_S)
+            reply = Hello(
+                node.record(), node.version, False, sent_us, hello.sent_us
+            )
+            self._send(peer, reply)
+
+    def _hear_load(self, load: Load, ip: str) -> None:
+        peer = self._node.peers.at(ip)
+        if peer is None:
+            return
+        now_s = time.monotonic()
+        record = peer.record
+        known = (record.incarnation, record.revision)
+        if known != (load.incarnation, load.revision):
+            if now_s - peer.greeted_at_s > _TICK_S:
+                self.greet(peer)
+            return
+        self._heard(peer, now_s, load.version)
+        peer.note_load(load, now_s)
+
+    def _heard(self, peer: Peer, now_s: float, version: int) -> None:
+        peer.heard_at_s = now_s
+        peer.down_until_s = 0
+        peer.greetings = 0
+        if version > self._node.version:
+            self._on_version(version, peer)
+
+    def _send(self, peer: Peer, datagram: Datagram) -> None:
+        self._write(peer, encode_datagram(datagram))
+
+    def _write(self, peer: Peer, content: bytes) -> None:
+        if self._transport is not None:
+            port = self._node.settings.news_port
+            self._transport.sendto(content, (peer.record.ip, port))
--- /dev/null
+++ b/carobmoor/mesh/_peers.py
@@ -0,0 +1,112 @@
+"""What a node knows of the other nodes and their backend servers."""
+
+from collections.abc import Iterator
+from types import MappingProxyType
+from typing import Final
+
+from carobmoor.mesh._datagrams import Load, NodeRecord
+from carobmoor.routing import FAR, HERE, NEAR, SuccessRate
+from carobmoor.transport import Address
+
+_SUCCESS_SMOOTHING: Final = 0.2
+_FIRST_ROUND_TRIP_MS: Final = MappingProxyType(
+    {HERE: 0.4, NEAR: 2.0, FAR: 20.0},
+)
+
+
+class Peer:
+    """Another node, or this one, as a candidate for requests."""
+
+    def __init__(self, record: NodeRecord, distance: int) -> None:
+        """Start with a record and nothing measured."""
+        self.record = record
+        self.distance = distance
+        self.is_self = False
+        self.round_trip_ms = _FIRST_ROUND_TRIP_MS[distance]
+        self.load: Load | None = None
+        self.load_at_s = float(0)
+        # Requests of this node that it has not answered, now and when it
+        # last told its load.
+        self.in_flight = 0
+        self.in_flight_then = 0
+        self.success = SuccessRate(_SUCCESS_SMOOTHING)
+        self.heard_at_s = float(0)
+        # Until then it is left alone unless nobody else is there.
+        self.down_until_s = float(0)
+        self.greeted_at_s = float(0)
+        self.greetings = 0
+
+    @property
+    def address(self) -> Address:
+        """Where it takes requests."""
+        return self.record.address
+
+    @property
+    def has_server(self) -> bool:
+        """Whether a backend server beside it takes requests."""
+        return bool(self.record.instance_id) and not self.record.is_leaving
+
+    def note_load(self, load: Load, now_s: float) -> None:
+        """Take in the load that it told."""
+        self.load = load
+        self.load_at_s = now_s
+        self.in_flight_then = self.in_flight
+
+
+class Peers:
+    """All known nodes, by their address."""
+
+    def __init__(self, availability_zone: str, region: str) -> None:
+        """Start alone, at a place from which distances are measured."""
+        self._availability_zone = availability_zone
+        self._region = region
+        self._by_address: dict[Address, Peer] = {}
+        self._by_ip: dict[str, Peer] = {}
+
+    def __iter__(self) -> Iterator[Peer]:
+        """Go through the known nodes."""
+        return iter(tuple(self._by_address.values()))
+
+    def of_service(self, service: str) -> list[Peer]:
+        """Give the nodes whose backend server takes requests of a service."""
+        return [
+            peer
+            for peer in self._by_address.values()
+            if peer.record.service == service and peer.has_server
+        ]
+
+    def at(self, ip: str) -> Peer | None:
+        """Give the node on an instance."""
+        return self._by_ip.get(ip)
+
+    def learn(self, record: NodeRecord, region: str) -> Peer:
+        """Keep a record; the measurements of another start are dropped."""
+        known = self._by_address.get(record.address)
+        if known is not None and _same_server(known.record, record):
+            known.record = record
+            return known
+        peer = Peer(record, self._distance(record, region))
+        if known is not None:
+            peer.in_flight = known.in_flight
+            peer.heard_at_s = known.heard_at_s
+            peer.is_self = known.is_self
+        self._by_address[record.address] = peer
+        self._by_ip[record.ip] = peer
+        return peer
+
+    def forget(self, peer: Peer) -> None:
+        """Drop a node that is gone."""
+        self._by_address.pop(peer.address, None)
+        self._by_ip.pop(peer.record.ip, None)
+
+    def _distance(self, record: NodeRecord, region: str) -> int:
+        if record.availability_zone == self._availability_zone:
+            return HERE
+        return NEAR if region == self._region else FAR
+
+
+def _same_server(known: NodeRecord, told: NodeRecord) -> bool:
+    return (
+        known.incarnation == told.incarnation
+        and known.instance_id == told.instance_id
+    )
--- /dev/null
+++ b/carobmoor/mesh/_serve_hop.py
@@ -0,0 +1,114 @@
+"""Requests of other nodes for the backend server beside this one."""
+
+import time
+from typing import Final
+
+from result import Err
+
+from carobmoor.mesh._datagrams import LOAD_HEADER, encode_datagram
+from carobmoor.mesh._hop import HOP_HEADER, decode_hop
+from carobmoor.mesh._order import Body, Order
+from carobmoor.mesh._owner import OwnAnswer, run_here
+from carobmoor.mesh._state import MeshNode
+from carobmoor.outcomes import (
+    OUTCOME_HEADER,
+    Code,
+    Failure,
+    NotRun,
+    encode_failure,
+)
+from carobmoor.transport import (
+    AnswerBroken,
+    CallerLost,
+    IncomingRequest,
+    header_of,
+)
+
+ROUTES_TARGET: Final = b'/_carobmoor/routes'
+_UNAVAILABLE: Final = 503
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_OUTCOME: Final = OUTCOME_HEADER.encode()
+_LENGTH: Final = b'content-length'
+
+
+async def serve_node(node: MeshNode, request: IncomingRequest) -> None:
+    """Answer a request of another node."""
+    if request.target == ROUTES_TARGET:
+        status = _OK if node.document else _NOT_FOUND
+        request.respond(status, (), node.document)
+        return
+    hop = decode_hop(header_of(request.headers, HOP_HEADER))
+    request_id = header_of(request.headers, node.names.request_id)
+    if hop is None:
+        peer = str(node.settings.node_address)
+        failure = NotRun(Code.BAD_REQUEST, 'read_request', peer)
+        _refuse(node, request, failure, request_id)
+        return
+    order = Order(
+        hop,
+        request_id.encode('latin-1'),
+        request.method,
+        request.target.decode('latin-1'),
+        request.headers,
+        _body_of(request),
+        request.lost,
+    )
+    ran = await run_here(node, order)
+    if isinstance(ran, Err):
+        _refuse(node, request, ran.err_value, request_id)
+        return
+    try:
+        await _relay(node, request, ran.ok_value)
+    except (AnswerBroken, CallerLost):
+        request.abort()
+
+
+def _body_of(request: IncomingRequest) -> Body:
+    length_bytes = request.body_bytes
+    if not length_bytes:
+        return Body()
+    return Body(b'', request.chunks(), length_bytes)
+
+
+async def _relay(
+    node: MeshNode,
+    request: IncomingRequest,
+    answer: OwnAnswer,
+) -> None:
+    length = header_of(answer.headers, _LENGTH)
+    headers = [
+        header
+        for header in answer.headers
+        if header[0] not in {_LENGTH, _OUTCOME, node.names.load}
+    ]
+    headers.append(_load_of(node))
+    request.start(answer.status, headers, int(length) if length else None)
+    async for chunk in answer.chunks():
+        # A caller that left doesn't end what may run only once.
+        if not request.lost.done():
+            await request.write(chunk)
+    request.end()
+
+
+def _refuse(
+    node: MeshNode,
+    request: IncomingRequest,
+    failure: Failure,
+    request_id: str,
+) -> None:
+    name = 'not_run' if isinstance(failure, NotRun) else 'unknown'
+    headers = (
+        (_OUTCOME, name.encode()),
+        (b'content-type', b'application/json'),
+        _load_of(node),
+    )
+    request.respond(
+        _UNAVAILABLE,
+        headers,
+        encode_failure(failure, request_id),
+    )
+
+
+def _load_of(node: MeshNode) -> tuple[bytes, bytes]:
+    return (LOAD_HEADER, encode_datagram(node.load(time.monotonic())))
--- /dev/null
+++ b/carobmoor/mesh/_work.py
@@ -0,0 +1,26 @@
+"""How long the requests of each route usually take."""
+
+from typing import Final
+
+_FIRST_MS: Final = 100
+_SMOOTHING: Final = 0.05
+
+
+class WorkTimes:
+    """Smoothed service times by route, in milliseconds."""
+
+    def __init__(self) -> None:
+        """Start without a measurement."""
+        self._by_route: dict[str, float] = {}
+
+    def usual_ms(self, route_name: str) -> float:
+        """Give what a request of the route takes."""
+        return self._by_route.get(route_name, _FIRST_MS)
+
+    def note(self, route_name: str, took_ms: float) -> None:
+        """Take in one request that was answered well."""
+        known = self._by_route.get(route_name)
+        if known is None:
+            self._by_route[route_name] = took_ms
+        else:
+            self._by_route[route_name] = known + _SMOOTHING * (took_ms - known)
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -27,8 +27,8 @@
 from carobmoor.node._settings import Settings
 from carobmoor.node._stall import watch_stalls
 from carobmoor.node._state import NodeState
-from carobmoor.platform import Platform
 from carobmoor.routing import RoutingState
+from carobmoor.store import Platform
 from carobmoor.telemetry import configure_logs, logger_for
 from carobmoor.tls import watch as watch_certificate
 from carobmoor.transport import Address, parse_address
--- a/carobmoor/node/_follow.py
+++ b/carobmoor/node/_follow.py
@@ -11,7 +11,7 @@
     Teller,
 )
 from carobmoor.membership import Gossip, Member, Standing, is_chosen
-from carobmoor.platform import Platform
+from carobmoor.store import Platform
 from carobmoor.transport import parse_address
 
 _DUTY: Final = 'configuration'
--- a/carobmoor/node/_keyed.py
+++ b/carobmoor/node/_keyed.py
@@ -23,7 +23,7 @@
 from carobmoor.node._relay import end_to_end, relay_answer
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
-from carobmoor.platform import Row
+from carobmoor.store import Row
 from carobmoor.tickets import KeptAnswer
 from carobmoor.transport import header_of, parse_address
 
--- a/carobmoor/node/_scope.py
+++ b/carobmoor/node/_scope.py
@@ -11,7 +11,7 @@
 from carobmoor.node._state import NodeState
 from carobmoor.operators import Operator, changes_out_of_scope, may_operate
 from carobmoor.outcomes import Code
-from carobmoor.platform import StoreFailure
+from carobmoor.store import StoreFailure
 
 _TEAM: Final = 'team'
 
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -25,7 +25,6 @@
 from carobmoor.node._pools import Pools
 from carobmoor.node._settings import Settings, operators_of
 from carobmoor.node._stall import StallWatch
-from carobmoor.platform import Platform
 from carobmoor.quarantine import (
     MARKS_TARGET,
     Neighbours,
@@ -40,6 +39,7 @@
     service_time_us,
     success_permille,
 )
+from carobmoor.store import Platform
 from carobmoor.telemetry import NodeMetrics
 from carobmoor.tickets import TicketPolicy, TicketTable
 from carobmoor.transport import Address, parse_address
--- a/carobmoor/outcomes/_failures.py
+++ b/carobmoor/outcomes/_failures.py
@@ -22,6 +22,8 @@
     DEADLINE_LAPSED = 'deadline_lapsed'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     QUEUE_FULL = 'queue_full'
+    # The backend server works much slower than usual at this moment.
+    SLOW = 'slow'
     CALLER_GONE = 'caller_gone'
     LEAVING = 'leaving'
     NOT_READY = 'not_ready'
--- a/carobmoor/platform/__init__.py
+++ b/carobmoor/platform/__init__.py
@@ -1,7 +1,18 @@
-"""Clients of the platform's table service and object store."""
+"""The adapter to the users' platform: its names, formats and calls.
 
-from carobmoor.platform._client import Platform
-from carobmoor.platform._jitter import jitter
-from carobmoor.platform._messages import Row, StoreFailure, StoreFault
+Nothing here decides: settings, routes and announcements are decoded into the
+product's own types, and the store's calls are made as they are asked for.
+"""
 
-__all__ = ['Platform', 'Row', 'StoreFailure', 'StoreFault', 'jitter']
+from carobmoor.platform._discovery import read_announcement
+from carobmoor.platform._document import decode_document
+from carobmoor.platform._settings import load_settings, read_settings
+from carobmoor.platform._store import StoreClient
+
+__all__ = [
+    'StoreClient',
+    'decode_document',
+    'load_settings',
+    'read_announcement',
+    'read_settings',
+]
--- /dev/null
+++ b/carobmoor/platform/__main__.py
@@ -0,0 +1,43 @@
+"""Runs a node as the platform starts it: `python -m carobmoor.platform`."""
+
+import asyncio
+import os
+import sys
+
+from result import Err
+
+from carobmoor.mesh import MeshNode, MeshParts, RouteSource, run_mesh_node
+from carobmoor.platform import (
+    StoreClient,
+    decode_document,
+    load_settings,
+    read_announcement,
+)
+from carobmoor.platform._names import (
+    CONFIG_KEY,
+    DEFAULT_SETTINGS_PATH,
+    HEADERS,
+    OPERATOR_TABLE,
+    SETTINGS_VARIABLE,
+)
+from carobmoor.telemetry import configure_logs
+from carobmoor.transport import ConnectionPool
+
+
+async def _run() -> int:
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{loaded.err_value}\n')
+        return 2
+    configure_logs('info')
+    settings = loaded.ok_value
+    store = StoreClient(ConnectionPool(), settings.store_address)
+    source = RouteSource(OPERATOR_TABLE, CONFIG_KEY, decode_document)
+    node = MeshNode(settings, HEADERS)
+    await run_mesh_node(MeshParts(node, store, source, read_announcement))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(asyncio.run(_run()))
--- /dev/null
+++ b/carobmoor/platform/_document.py
@@ -0,0 +1,172 @@
+"""The operator's document, decoded into a table of routes."""
+
+import math
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from carobmoor.platform._units import read_duration_ms, read_version
+from carobmoor.routes import (
+    CallerLimits,
+    Kind,
+    Part,
+    Route,
+    RoutedService,
+    RouteTable,
+)
+
+_KINDS: Final = MappingProxyType(
+    {
+        'idempotent': Kind.IDEMPOTENT,
+        'non_idempotent': Kind.NON_IDEMPOTENT,
+        'upload': Kind.UPLOAD,
+    },
+)
+_DEFAULT_PRIORITY: Final = 1
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Match(msgspec.Struct):
+    prefix: str
+
+
+class _Action(msgspec.Struct, rename='camel'):
+    timeout: str
+    attempts: int
+    service: str = ''
+    traffic_split: Sequence[_Weighted] = ()
+
+
+class _Rule(msgspec.Struct, rename='camel'):
+    match: _Match
+    action: _Action
+    route_type: str
+    name: str = ''
+    target_latency: str = '1s'
+    priority: int = _DEFAULT_PRIORITY
+
+
+class _Listener(msgspec.Struct, rename='camel'):
+    host: str
+    route_rules: Sequence[_Rule]
+
+
+class _Cluster(msgspec.Struct, rename='camel'):
+    name: str
+    health_check_path: str = '/health'
+    max_connections: int = 1
+
+
+class _Document(msgspec.Struct):
+    version: str
+    limits: _Limits
+    listeners: Sequence[_Listener]
+    # The services.
+    clusters: Sequence[_Cluster]
+
+
+_decoder: Final = msgspec.json.Decoder(_Document, strict=False)
+
+
+def decode_document(content: bytes) -> Result[RouteTable, str]:
+    """Decode a document; `Err` says what in it is wrong and where."""
+    try:
+        return Ok(_table(_decoder.decode(content)))
+    except (msgspec.DecodeError, ValueError) as error:
+        return Err(str(error))
+
+
+def _table(document: _Document) -> RouteTable:
+    services = {
+        cluster.name: RoutedService(
+            cluster.name,
+            cluster.health_check_path,
+            cluster.max_connections,
+        )
+        for cluster in document.clusters
+    }
+    routes: dict[str, dict[str, Route]] = {}
+    for listener in document.listeners:
+        by_prefix = routes.setdefault(listener.host.lower(), {})
+        for rule in listener.route_rules:
+            route = _route(listener.host, rule, services)
+            by_prefix[route.prefix] = route
+    limits = document.limits
+    return RouteTable(
+        read_version(document.version),
+        routes,
+        services,
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            read_duration_ms(limits.header_timeout),
+            read_duration_ms(limits.idle_timeout),
+        ),
+    )
+
+
+def _route(
+    host: str, rule: _Rule, services: Mapping[str, RoutedService]
+) -> Route:
+    action = rule.action
+    prefix = rule.match.prefix
+    parts = _parts(action)
+    fault = _fault_of(rule, parts, services)
+    if fault:
+        raise ValueError(f'{rule.name}: {fault}')
+    return Route(
+        rule.name,
+        host,
+        prefix,
+        _KINDS[rule.route_type],
+        parts,
+        read_duration_ms(action.timeout),
+        read_duration_ms(rule.target_latency),
+        action.attempts,
+        rule.priority,
+    )
+
+
+def _fault_of(
+    rule: _Rule,
+    parts: Sequence[Part],
+    services: Mapping[str, RoutedService],
+) -> str:
+    """Tell what is wrong with a rule; empty when nothing is."""
+    prefix = rule.match.prefix
+    if not prefix.startswith('/') or not prefix.endswith('/'):
+        return f'prefix {prefix!r} lacks a slash'
+    for part in parts:
+        if part.service not in services:
+            return f'unknown service {part.service!r}'
+    if rule.route_type not in _KINDS:
+        return f'unknown kind {rule.route_type!r}'
+    attempts = rule.action.attempts
+    return f'attempts {attempts}' if attempts < 1 else ''
+
+
+def _parts(action: _Action) -> Sequence[Part]:
+    if not action.traffic_split:
+        return (Part(action.service, 1),)
+    parts = tuple(
+        Part(weighted.service, weighted.weight)
+        for weighted in action.traffic_split
+        if weighted.weight > 0
+    )
+    if not parts or not math.isfinite(sum(part.weight for part in parts)):
+        raise ValueError('a split without weights')
+    return parts
--- /dev/null
+++ b/carobmoor/platform/_names.py
@@ -0,0 +1,25 @@
+"""The platform's names of headers and paths."""
+
+from typing import Final
+
+from carobmoor.mesh import HeaderNames
+
+HEADERS: Final = HeaderNames(
+    request_id=b'x-carobmoor-request-id',
+    deadline_ms=b'x-carobmoor-deadline-ms',
+    # Set by the backend server on every answer that it made itself.
+    signature=b'x-carobmoor-response-signature',
+    expected_instance=b'x-carobmoor-expected-instance',
+    # "running,waiting,slots", and sometimes the pace in percent.
+    load=b'x-carobmoor-server-load',
+    not_run=b'x-carobmoor-not-executed',
+    caller_service=b'x-carobmoor-caller-service',
+)
+READY_PATH: Final = '/v1/ready'
+INSTANCES_PATH: Final = '/v1/instances/'
+HEARTBEAT: Final = 'heartbeat'
+DEREGISTER: Final = 'deregister'
+OPERATOR_TABLE: Final = 'op'
+CONFIG_KEY: Final = 'config'
+SETTINGS_VARIABLE: Final = 'CAROBMOOR_CONFIG'
+DEFAULT_SETTINGS_PATH: Final = '/etc/carobmoor/node.conf'
--- /dev/null
+++ b/carobmoor/platform/_store.py
@@ -0,0 +1,296 @@
+"""The platform's store: rows with versions, a feed of changes, objects."""
+
+import base64
+import random
+import time
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+import msgspec
+from result import Err, Ok, Result
+
+from carobmoor.store import (
+    Breaker,
+    Row,
+    RowChanges,
+    StoreFailure,
+    StoreFault,
+)
+from carobmoor.transport import (
+    Address,
+    CallFailure,
+    ConnectionPool,
+    JsonAnswer,
+    OutgoingRequest,
+    request_json,
+)
+
+_TIMEOUT_S: Final = 3
+# How much longer than its wait a call for changes may take.
+_FEED_SLACK_S: Final = 2
+_MS_PER_S: Final = 1000
+_FAULT_BY_STATUS: Final = MappingProxyType(
+    {
+        404: StoreFault.MISSING,
+        410: StoreFault.HISTORY_LOST,
+        412: StoreFault.PRECONDITION,
+    },
+)
+_FIRST_FAILED_STATUS: Final = 400
+_FIRST_FAULTY_STATUS: Final = 500
+_TOO_MANY_CALLS: Final = 429
+_JSON: Final = ((b'content-type', b'application/json'),)
+# Sorts after every key that starts with a prefix.
+_LAST_CHARACTER: Final = '\U0010ffff'
+
+
+class _WireRow(msgspec.Struct, rename='camel'):
+    key: str
+    row_version: int = 0
+    # In base64.
+    content: str = msgspec.field(name='value', default='')
+    deleted: bool = False
+
+
+class _WireRows(msgspec.Struct, rename='camel'):
+    rows: Sequence[_WireRow]
+    # The newest version of the whole store.
+    row_version: int
+    has_more: bool = False
+
+
+class _WireWritten(msgspec.Struct, rename='camel'):
+    row_version: int
+
+
+class StoreClient:
+    """The client of the platform's store.
+
+    A row's `etag` is its version as text. Every failure is told as a
+    `StoreFailure`; a write that failed as `UNAVAILABLE` may take effect later.
+    """
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        """Use the pool for every call."""
+        self._pool = pool
+        self._address = address
+        self._breaker = Breaker(random.Random())
+        self.calls = 0
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the store fails every call just now."""
+        return self._breaker.is_open
+
+    async def get_row(
+        self,
+        table: str,
+        key: str,
+    ) -> Result[Row | None, StoreFailure]:
+        """Read a row; `None` when there is none."""
+        read = await self._read(table, key, f'{key}\0')
+        return read.map(lambda changes: next(iter(changes.rows), None))
+
+    async def list_rows(
+        self,
+        table: str,
+        prefix: str = '',
+    ) -> Result[Sequence[Row], StoreFailure]:
+        """List the rows whose key starts with `prefix`, by key."""
+        read = await self.read_rows(table, prefix)
+        return read.map(lambda changes: changes.rows)
+
+    async def read_rows(
+        self,
+        table: str,
+        prefix: str = '',
+    ) -> Result[RowChanges, StoreFailure]:
+        """Read the rows whose key starts with `prefix`, and the version."""
+        end = f'{prefix}{_LAST_CHARACTER}' if prefix else ''
+        rows: list[Row] = []
+        start = prefix
+        while True:
+            read = await self._read(table, start, end)
+            if isinstance(read, Err):
+                return read
+            page = read.ok_value
+            rows.extend(page.rows)
+            if not page.has_more:
+                return Ok(page._replace(rows=rows))
+            start = f'{page.rows[-1].key}\0'
+
+    async def watch_rows(
+        self,
+        table: str,
+        after_version: int,
+        wait_s: float,
+    ) -> Result[RowChanges, StoreFailure]:
+        """Wait until rows of a table change, `wait_s` at most.
+
+        `HISTORY_LOST` means that the changes are no longer known; the table
+        must be read anew.
+        """
+        wait_ms = int(wait_s * _MS_PER_S)
+        query = {'table': table, 'after': after_version, 'waitMs': wait_ms}
+        request = _get('rows-feed', query)
+        called = await self._call(request, wait_s + _FEED_SLACK_S)
+        return self._decoded(called, _WireRows).map(_changes)
+
+    async def put_row(
+        self,
+        table: str,
+        key: str,
+        content: bytes,
+        etag: str,
+    ) -> Result[Row, StoreFailure]:
+        """Write a row if its tag still is `etag`; empty inserts if absent."""
+        row = {
+            'table': table,
+            'part': '',
+            'key': key,
+            'value': base64.b64encode(content).decode('ascii'),
+        }
+        condition = [_condition(table, key, etag)]
+        written = await self._write(condition, [row], [])
+        return written.map(lambda version: Row(key, content, version))
+
+    async def delete_row(
+        self,
+        table: str,
+        key: str,
+        etag: str,
+    ) -> Result[None, StoreFailure]:
+        """Delete a row if its tag still is `etag`."""
+        row = {'table': table, 'part': '', 'key': key}
+        condition = [_condition(table, key, etag)]
+        written = await self._write(condition, [], [row])
+        return written.map(lambda _: None)
+
+    async def get_object(
+        self,
+        bucket: str,
+        key: str,
+    ) -> Result[bytes, StoreFailure]:
+        """Read a whole object."""
+        target = f'/v1/blob-get/{_object_id(bucket, key)}'
+        called = await self._call(OutgoingRequest('GET', target, ()))
+        return called.map(lambda answer: answer.body)
+
+    async def put_object(
+        self,
+        bucket: str,
+        key: str,
+        body: bytes,
+    ) -> Result[None, StoreFailure]:
+        """Write an object; writing the same again changes nothing."""
+        target = f'/v1/blob-put/{_object_id(bucket, key)}'
+        called = await self._call(OutgoingRequest('PUT', target, (), body))
+        return called.map(lambda _: None)
+
+    async def _read(
+        self,
+        table: str,
+        start: str,
+        end: str,
+    ) -> Result[RowChanges, StoreFailure]:
+        query = {'table': table, 'part': ''}
+        if start:
+            query['startKey'] = start
+        if end:
+            query['target'] = end
+        called = await self._call(_get('rows-get', query))
+        return self._decoded(called, _WireRows).map(_changes)
+
+    async def _write(
+        self,
+        expected: Sequence[Mapping[str, Any]],
+        put: Sequence[Mapping[str, Any]],
+        remove: Sequence[Mapping[str, Any]],
+    ) -> Result[str, StoreFailure]:
+        body = msgspec.json.encode(
+            {'expected': expected, 'put': put, 'remove': remove},
+        )
+        request = OutgoingRequest('POST', '/v1/rows-tx', _JSON, body)
+        called = await self._call(request)
+        written = self._decoded(called, _WireWritten)
+        return written.map(lambda answer: str(answer.row_version))
+
+    def _decoded(
+        self,
+        called: Result[JsonAnswer, StoreFailure],
+        shape: Any,
+    ) -> Result[Any, StoreFailure]:
+        if isinstance(called, Err):
+            return called
+        try:
+            return Ok(called.ok_value.decode(shape))
+        except msgspec.DecodeError as error:
+            return Err(self._failure('decode', str(error)))
+
+    async def _call(
+        self,
+        request: OutgoingRequest,
+        timeout_s: float = _TIMEOUT_S,
+    ) -> Result[JsonAnswer, StoreFailure]:
+        if not self._breaker.may_call(time.monotonic()):
+            return Err(self._failure('breaker', 'it failed lately'))
+        self.calls += 1
+        called = await request_json(
+            self._pool,
+            self._address,
+            request,
+            timeout_s,
+        )
+        if isinstance(called, Err):
+            self._breaker.note(False, time.monotonic())
+            return Err(_unavailable(called.err_value))
+        answer = called.ok_value
+        status = answer.head.status
+        is_served = status < _FIRST_FAULTY_STATUS and status != _TOO_MANY_CALLS
+        self._breaker.note(is_served, time.monotonic())
+        if status < _FIRST_FAILED_STATUS:
+            return Ok(answer)
+        fault = _FAULT_BY_STATUS.get(status, StoreFault.UNAVAILABLE)
+        return Err(self._failure('answer', f'status {status}', fault))
+
+    def _failure(
+        self,
+        step: str,
+        detail: str,
+        fault: StoreFault = StoreFault.UNAVAILABLE,
+    ) -> StoreFailure:
+        return StoreFailure(fault, step, str(self._address), detail)
+
+
+def _get(call: str, query: Mapping[str, Any]) -> OutgoingRequest:
+    return OutgoingRequest('GET', f'/v1/{call}?{urlencode(query)}', ())
+
+
+def _condition(table: str, key: str, etag: str) -> Mapping[str, Any]:
+    version = int(etag or 0)
+    return {'table': table, 'part': '', 'key': key, 'rowVersion': version}
+
+
+def _object_id(bucket: str, key: str) -> str:
+    return quote(f'{bucket}.{key}', safe='')
+
+
+def _changes(page: _WireRows) -> RowChanges:
+    kept = [_row(row) for row in page.rows if not row.deleted]
+    deleted = [row.key for row in page.rows if row.deleted]
+    return RowChanges(kept, deleted, page.row_version, page.has_more)
+
+
+def _row(row: _WireRow) -> Row:
+    return Row(row.key, base64.b64decode(row.content), str(row.row_version))
+
+
+def _unavailable(failure: CallFailure) -> StoreFailure:
+    return StoreFailure(
+        StoreFault.UNAVAILABLE,
+        failure.step.value,
+        failure.peer,
+        failure.reason,
+    )
--- a/carobmoor/platform/tests/__init__.py
+++ b/carobmoor/platform/tests/__init__.py
@@ -1,1 +0,0 @@
-"""Tests of this slice."""
--- /dev/null
+++ b/carobmoor/routes/_find.py
@@ -0,0 +1,62 @@
+"""Finding the route of a request and the service of its turn."""
+
+import random
+from collections.abc import Sequence
+from typing import Final
+
+from carobmoor.routes._messages import Part, Route, RouteTable
+
+_SLASH: Final = '/'
+
+
+def find_route(table: RouteTable, host: str, path: str) -> Route | None:
+    """Give the route with the longest prefix of a path; `None` if none fits.
+
+    `host` may carry a port, which is ignored; `path` is without a query.
+    """
+    by_prefix = table.routes.get(host.partition(':')[0].lower())
+    if by_prefix is None:
+        return None
+    end = len(path)
+    while end > 0:
+        end = path.rfind(_SLASH, 0, end)
+        route = by_prefix.get(path[: end + 1])
+        if route is not None:
+            return route
+    return None
+
+
+class SplitState:
+    """Whose turn it is on each route with several parts."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start without a turn taken."""
+        self._rng = rng
+        self._credits: dict[Sequence[Part], list[float]] = {}
+
+    def next_service(self, route: Route) -> str:
+        """Give the service of the next request, by smooth weighted turns.
+
+        Each process starts at a random turn, so that many processes with few
+        requests each keep the shares together.
+        """
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        credits = self._credits.get(route.parts)
+        if credits is None:
+            credits = self._first_credits(route.parts)
+            self._credits[route.parts] = credits
+        for place, part in enumerate(route.parts):
+            credits[place] += part.weight
+        chosen = max(range(len(credits)), key=credits.__getitem__)
+        credits[chosen] -= _whole_weight(route.parts)
+        return route.parts[chosen].service
+
+    def _first_credits(self, parts: Sequence[Part]) -> list[float]:
+        drawn = [part.weight * self._rng.random() for part in parts]
+        mean = sum(drawn) / len(drawn)
+        return [credit - mean for credit in drawn]
+
+
+def _whole_weight(parts: Sequence[Part]) -> float:
+    return sum(part.weight for part in parts)
--- a/carobmoor/routing/__init__.py
+++ b/carobmoor/routing/__init__.py
@@ -19,6 +19,7 @@
 )
 from carobmoor.routing._policy import DEFAULT_ROUTING_POLICY, RoutingPolicy
 from carobmoor.routing._probes import ProbeBudget, next_probe, probe_ended
+from carobmoor.routing._rate import SuccessRate
 from carobmoor.routing._record import (
     BackendRecord,
     note_served,
@@ -27,6 +28,9 @@
     success_permille,
 )
 from carobmoor.routing._state import (
+    FAR,
+    HERE,
+    NEAR,
     CandidateState,
     RoutingState,
     ServiceState,
@@ -34,6 +38,10 @@
 )
 
 __all__ = [
+    'SuccessRate',
+    'FAR',
+    'HERE',
+    'NEAR',
     'DEFAULT_ROUTING_POLICY',
     'REPORT_HEADER',
     'BackendRecord',
--- a/carobmoor/platform/_breaker.py
+++ b/carobmoor/store/_breaker.py
@@ -3,7 +3,7 @@
 import random
 from typing import Final
 
-from carobmoor.platform._jitter import jitter
+from carobmoor.store._jitter import jitter
 
 _FAILURES_TO_OPEN: Final = 5
 _FIRST_WAIT_S: Final = 0.5
--- a/carobmoor/platform/_client.py
+++ b/carobmoor/store/_client.py
@@ -16,8 +16,8 @@
 
 from result import Err, Ok, Result
 
-from carobmoor.platform._breaker import Breaker
-from carobmoor.platform._messages import Row, StoreFailure, StoreFault
+from carobmoor.store._breaker import Breaker
+from carobmoor.store._messages import Row, StoreFailure, StoreFault
 from carobmoor.transport import (
     Address,
     CallFailure,
--- a/carobmoor/platform/_messages.py
+++ b/carobmoor/store/_messages.py
@@ -1,6 +1,7 @@
 """Rows of the table service, and how its calls fail."""
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -12,6 +13,16 @@
     etag: str
 
 
+class RowChanges(NamedTuple):
+    """Rows as of one version of the store."""
+
+    rows: Sequence[Row]
+    # The keys of rows that are gone.
+    deleted: Sequence[str]
+    version: int
+    has_more: bool = False
+
+
 class StoreFault(enum.StrEnum):
     """How a call to the store failed."""
 
@@ -19,6 +30,8 @@
     PRECONDITION = 'precondition'
     # There is no such row or object.
     MISSING = 'missing'
+    # The changes since the given version are no longer kept.
+    HISTORY_LOST = 'history_lost'
     # The write may have taken effect or not.
     UNAVAILABLE = 'unavailable'
 
--- /dev/null
+++ b/carobmoor/store/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this slice."""
--- a/carobmoor/platform/tests/fixtures.py
+++ b/carobmoor/store/tests/fixtures.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from carobmoor.platform import Row, StoreFailure, StoreFault
+from carobmoor.store import Row, StoreFailure, StoreFault
 
 DOWN = StoreFailure(StoreFault.UNAVAILABLE, 'answer', 'store', 'down')
 
--- a/carobmoor/platform/tests/test_breaker.py
+++ b/carobmoor/store/tests/test_breaker.py
@@ -2,7 +2,7 @@
 
 import random
 
-from carobmoor.platform._breaker import Breaker
+from carobmoor.store._breaker import Breaker
 
 
 def calls_in(breaker, seconds, succeeded):
--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -6,7 +6,13 @@
 """
 
 from carobmoor.transport._connection import Connection
+from carobmoor.transport._end_to_end import end_to_end
 from carobmoor.transport._exchange import Answer, AnswerBroken, send
+from carobmoor.transport._incoming import (
+    CallerLost,
+    IncomingRequest,
+    ServingLimits,
+)
 from carobmoor.transport._json import JsonAnswer, read_whole, request_json
 from carobmoor.transport._messages import (
     Address,
@@ -19,6 +25,7 @@
 )
 from carobmoor.transport._pool import ConnectionPool
 from carobmoor.transport._progress import ProgressMeter
+from carobmoor.transport._serving import Listener
 from carobmoor.transport._steps import CallFailure, Step, proves_not_run
 
 __all__ = [
@@ -27,14 +34,19 @@
     'AnswerBroken',
     'AnswerHead',
     'CallFailure',
+    'CallerLost',
     'Connection',
     'ConnectionPool',
     'HeaderList',
+    'IncomingRequest',
     'JsonAnswer',
+    'Listener',
     'OutgoingRequest',
     'ProgressFloor',
     'ProgressMeter',
+    'ServingLimits',
     'Step',
+    'end_to_end',
     'header_of',
     'parse_address',
     'proves_not_run',
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Final
 
 import httptools
 
-from carobmoor.transport._messages import AnswerHead, OutgoingRequest
+from carobmoor.transport._messages import (
+    AnswerHead,
+    OutgoingRequest,
+    header_of,
+)
 from carobmoor.transport._steps import Step
 
 _PAUSE_READING_BYTES: Final = 262144
@@ -16,6 +21,17 @@
 # How long an abandoned exchange waits for the peer's close.
 _LINGER_S: Final = 10
 _LAST_INFORMATIONAL_STATUS: Final = 199
+_BODILESS_STATUSES: Final = frozenset((204, 304))
+_FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+# A peer that acknowledges nothing is given up after about three seconds,
+# which bounds how long a connection that a cut silenced looks usable.
+_SOCKET_OPTIONS: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+)
 
 
 class Connection(asyncio.Protocol):
@@ -45,6 +61,10 @@
         self._peer_keeps_alive = False
         self._head_bytes = 0
         self._is_bodiless = False
+        # Whether the body of the answer ends with the connection.
+        self._ends_with_close = False
+        # Whether what is read belongs to another request.
+        self._is_skipping = False
         self._is_abandoned = False
         self._when_gone: Callable[[], None] | None = None
         self._writable: asyncio.Future[None] | None = None
@@ -96,6 +116,9 @@
         """Keep the transport; called by the event loop."""
         self._transport = transport  # type: ignore[assignment]
         self.step = Step.BEFORE_FIRST_BYTE
+        connected = transport.get_extra_info('socket')
+        for level, option, setting in _SOCKET_OPTIONS:
+            connected.setsockopt(level, option, setting)
 
     def data_received(self, received: bytes) -> None:
         """Feed the parser; bytes without an exchange close the connection."""
@@ -112,6 +135,12 @@
             self.close('the peer switched protocols')
         self._bound_head(len(received))
 
+    def eof_received(self) -> None:
+        """Take the peer's close for the end of a body without a length."""
+        if self._ends_with_close and self._head is not None:
+            self.ended = True
+            self._peer_keeps_alive = False
+
     def connection_lost(self, error: Exception | None) -> None:
         """Wake whoever waits on this connection."""
         if not self.lost_reason:
@@ -146,13 +175,24 @@
         status = self._parser.get_status_code()
         if self.ended or status <= _LAST_INFORMATIONAL_STATUS:
             return
-        self._head = AnswerHead(status, self._headers)
+        head = AnswerHead(status, self._headers)
+        if not self._is_wanted(head):
+            self._is_skipping = True
+            return
+        self._head = head
         self._peer_keeps_alive = self._parser.should_keep_alive()
+        self._ends_with_close = not (
+            self._is_bodiless
+            or status in _BODILESS_STATUSES
+            or _FRAMING_HEADERS.intersection(name for name, _ in self._headers)
+        )
         self.ended = self._is_bodiless
         self._wake()
 
     def on_body(self, chunk: bytes) -> None:
         """Keep a chunk, and stop reading while too many wait."""
+        if self._is_skipping:
+            return
         if self.ended:
             self.close('bytes after the answer')
             return
@@ -164,6 +204,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the answer as whole."""
+        self._is_skipping = False
         if self._head is None:
             self._headers = []
             return
@@ -176,6 +217,8 @@
         self.ended = False
         self._head_bytes = 0
         self._is_bodiless = False
+        self._ends_with_close = False
+        self._is_skipping = False
         self._headers = []
         self._head = None
         self._parser = httptools.HttpResponseParser(self)
@@ -223,6 +266,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _is_wanted(self, head: AnswerHead) -> bool:
+        """Tell whether an answer repeats the header that names its request."""
+        echoed = None if self.request is None else self.request.echoed
+        if echoed is None:
+            return True
+        named = header_of(head.headers, echoed[0])
+        return not named or named.encode('latin-1') == echoed[1]
+
     @property
     def _is_writing(self) -> bool:
         transport = self._transport
--- /dev/null
+++ b/carobmoor/transport/_end_to_end.py
@@ -0,0 +1,31 @@
+"""The headers that travel from end to end."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from carobmoor.transport._messages import HeaderList
+
+_HOP_HEADERS: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    ),
+)
+
+
+def end_to_end(headers: HeaderList) -> Sequence[tuple[bytes, bytes]]:
+    """Drop the headers that concern one connection only.
+
+    Those are the well-known ones and what `Connection` names.
+    """
+    dropped = set(_HOP_HEADERS)
+    for name, content in headers:
+        if name == b'connection':
+            dropped.update(map(bytes.strip, content.lower().split(b',')))
+    return [header for header in headers if header[0] not in dropped]
--- a/carobmoor/transport/_exchange.py
+++ b/carobmoor/transport/_exchange.py
@@ -19,7 +19,7 @@
     OutgoingRequest,
     ProgressFloor,
 )
-from carobmoor.transport._pool import ConnectionPool
+from carobmoor.transport._pool import CONNECT_TIMEOUT_S, ConnectionPool
 from carobmoor.transport._progress import ProgressMeter
 from carobmoor.transport._steps import CallFailure, Step
 
@@ -93,17 +93,19 @@
     address: Address,
     request: OutgoingRequest,
     timeout_s: float,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> Result[Answer, CallFailure]:
     """Send a request and wait for the head of its answer.
 
     `timeout_s` bounds the wait for the head, connecting and the sending of
-    the body included. Cancelling closes the connection, which tells the peer.
+    the body included; `connect_timeout_s` bounds connecting. Cancelling
+    closes the connection, which tells the peer.
     """
     started_s = time.monotonic()
     fault = fault_of(request)
     if fault:
         return Err(CallFailure(Step.BEFORE_FIRST_BYTE, str(address), fault))
-    acquired = await pool.acquire(address, timeout_s)
+    acquired = await pool.acquire(address, min(timeout_s, connect_timeout_s))
     if isinstance(acquired, Err):
         return acquired
     connection = acquired.ok_value
--- /dev/null
+++ b/carobmoor/transport/_incoming.py
@@ -0,0 +1,205 @@
+"""A request that a peer sent, and the way to answer it."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Final, NamedTuple, Protocol
+
+from carobmoor.transport._messages import HeaderList, header_of
+
+_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_LAST_CHUNK: Final = b'0\r\n\r\n'
+
+
+class ServingLimits(NamedTuple):
+    """What a peer may send, and how long it may take or stay idle."""
+
+    most_head_bytes: int = 32_768
+    most_body_bytes: int = 1_073_741_824
+    head_timeout_s: float = 10
+    idle_timeout_s: float = 75
+    # Whether every answer asks the peer to close its connection.
+    is_closing: bool = False
+
+
+class AnswerSink(Protocol):
+    """The connection on which a request came."""
+
+    peer: str
+    closes_after_answer: bool
+
+    def write(self, written: bytes) -> None:
+        """Write bytes."""
+
+    async def drain(self) -> None:
+        """Wait until the peer has taken enough."""
+
+    def resume_reading(self) -> None:
+        """Read on after a pause."""
+
+    def abort(self) -> None:
+        """Reset the connection."""
+
+
+class CallerLost(ConnectionError):
+    """The peer closed its connection before its request was answered."""
+
+
+class IncomingRequest:
+    """One request and the way to answer it.
+
+    The handler answers with `respond`, or with `start`, `write` and `end`.
+    """
+
+    def __init__(self, connection: AnswerSink) -> None:
+        """Begin a request of which nothing was read yet."""
+        loop = asyncio.get_running_loop()
+        self.method = ''
+        self.target = b''
+        self.headers: list[tuple[bytes, bytes]] = []
+        # Set once the peer is gone; nobody reads an answer from then on.
+        self.lost: asyncio.Future[None] = loop.create_future()
+        self.arrived_at_s = loop.time()
+        self.is_whole = False
+        self.has_started = False
+        self.has_ended = False
+        self.buffered_bytes = 0
+        self._connection = connection
+        self._chunks: deque[bytes] = deque()
+        self._news: asyncio.Future[None] | None = None
+        self._is_chunked = False
+        self._is_discarded = False
+
+    @property
+    def body_bytes(self) -> int:
+        """The declared length of the body; -1 when it is chunked."""
+        if header_of(self.headers, b'transfer-encoding'):
+            return -1
+        return int(header_of(self.headers, b'content-length') or 0)
+
+    @property
+    def peer(self) -> str:
+        """The peer as `ip:port`."""
+        return self._connection.peer
+
+    def feed(self, chunk: bytes) -> None:
+        """Keep a chunk of the body; called by the connection."""
+        if self._is_discarded:
+            return
+        self._chunks.append(chunk)
+        self.buffered_bytes += len(chunk)
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the reader of the body."""
+        if self._news is not None and not self._news.done():
+            self._news.set_result(None)
+
+    async def read_chunk(self) -> bytes:
+        """Wait for the next chunk of the body; empty at its end.
+
+        Raises `CallerLost` when the peer goes before that.
+        """
+        while not self._chunks and not self.is_whole:
+            if self.lost.done():
+                raise CallerLost(self.peer)
+            self._connection.resume_reading()
+            self._news = asyncio.get_running_loop().create_future()
+            await self._news
+        if not self._chunks:
+            return b''
+        chunk = self._chunks.popleft()
+        self.buffered_bytes -= len(chunk)
+        return chunk
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Give the body, or what is left of it, as it comes."""
+        while chunk := await self.read_chunk():
+            yield chunk
+
+    def invite_body(self) -> None:
+        """Ask a peer that waits for it to send the body."""
+        if header_of(self.headers, b'expect').lower() == '100-continue':
+            self._connection.write(_CONTINUE)
+
+    def respond(
+        self,
+        status: int,
+        headers: HeaderList = (),
+        body: bytes = b'',
+    ) -> None:
+        """Answer with a body that is at hand."""
+        head = self._head(status, headers, len(body))
+        self._connection.write(head if self.method == 'HEAD' else head + body)
+        self._finish()
+
+    def start(
+        self,
+        status: int,
+        headers: HeaderList,
+        length_bytes: int | None,
+    ) -> None:
+        """Send the head of an answer; without a length the body is chunked."""
+        self._is_chunked = length_bytes is None
+        self._connection.write(self._head(status, headers, length_bytes))
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a chunk of the answer and wait until the peer takes more.
+
+        Raises `CallerLost` when the peer is gone.
+        """
+        framed = chunk
+        if self._is_chunked:
+            framed = b'%x\r\n%b\r\n' % (len(chunk), chunk)
+        self._connection.write(framed)
+        await self._connection.drain()
+        if self.lost.done():
+            raise CallerLost(self.peer)
+
+    def end(self) -> None:
+        """End an answer that was sent in chunks."""
+        if self._is_chunked:
+            self._connection.write(_LAST_CHUNK)
+        self._finish()
+
+    def abort(self) -> None:
+        """Reset the connection, so that a short answer isn't taken as whole."""
+        self.has_ended = True
+        self._connection.abort()
+
+    def _head(
+        self,
+        status: int,
+        headers: HeaderList,
+        length_bytes: int | None,
+    ) -> bytes:
+        self.has_started = True
+        parts = [status_line(status)]
+        for name, content in headers:
+            parts.append(b'%b: %b\r\n' % (name, content))
+        if length_bytes is None:
+            parts.append(b'transfer-encoding: chunked\r\n')
+        else:
+            parts.append(b'content-length: %d\r\n' % length_bytes)
+        if self._connection.closes_after_answer:
+            parts.append(b'connection: close\r\n')
+        parts.append(b'\r\n')
+        return b''.join(parts)
+
+    def _finish(self) -> None:
+        self.has_ended = True
+        if not self.is_whole:
+            # What is left of the body belongs to no other request.
+            self._is_discarded = True
+            self._chunks.clear()
+            self._connection.resume_reading()
+
+
+def status_line(status: int) -> bytes:
+    """Write the first line of an answer."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = 'Unknown'
+    return f'HTTP/1.1 {status} {phrase}\r\n'.encode()
--- a/carobmoor/transport/_messages.py
+++ b/carobmoor/transport/_messages.py
@@ -29,7 +29,8 @@
 
     `body` holds what is at hand already; `more_body` gives the rest of a
     streamed body. With `more_body` and no `content-length` header the body
-    is sent chunked.
+    is sent chunked. An answer that carries the header `echoed` with another
+    content belongs to another request and is skipped.
     """
 
     method: str
@@ -37,6 +38,7 @@
     headers: HeaderList
     body: bytes = b''
     more_body: AsyncIterator[bytes] | None = None
+    echoed: tuple[bytes, bytes] | None = None
 
 
 class AnswerHead(NamedTuple):
--- a/carobmoor/transport/_pool.py
+++ b/carobmoor/transport/_pool.py
@@ -13,7 +13,7 @@
 
 _IDLE_LIFETIME_S: Final = 20
 _MOST_IDLE_PER_PEER: Final = 64
-_CONNECT_TIMEOUT_S: Final = 2
+CONNECT_TIMEOUT_S: Final = 2
 
 
 class ConnectionPool:
@@ -34,7 +34,7 @@
     async def acquire(
         self,
         address: Address,
-        timeout_s: float = _CONNECT_TIMEOUT_S,
+        timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Result[Connection, CallFailure]:
         """Give an idle connection to the address or open a new one."""
         connection = self._take_idle(address)
@@ -99,7 +99,7 @@
         loop = asyncio.get_running_loop()
         peer = str(address)
         try:
-            async with asyncio.timeout(min(timeout_s, _CONNECT_TIMEOUT_S)):
+            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
                     lambda: Connection(peer),
                     address.ip,
