Handle reloads, pauses, restarts and crash requests in the mesh node

Besides: a node that starts anew knew nothing of a leaving that it had acknowledged; a request read after a pause could run for a caller that had left; requests that crash servers were not stopped; a request that came back from a slow own server was sent to it again, since a node did not bring its own load up to date.

Change: SIGHUP and changed settings are read while running; the own row keeps the backend server and its leaving, read at the next start and written before a leaving is acknowledged; sockets are read first after a pause; the mesh node runs requests under the product's quarantine; the own load is taken before each choice. `StallWatch` moves to the transport, for both nodes.

--- a/carobmoor/mesh/__init__.py
+++ b/carobmoor/mesh/__init__.py
@@ -6,7 +6,12 @@
 which decides whether it runs.
 """
 
-from carobmoor.mesh._daemon import MeshParts, run_mesh_node
+from carobmoor.mesh._daemon import (
+    MeshParts,
+    leave_mesh_node,
+    run_mesh_node,
+    start_mesh_node,
+)
 from carobmoor.mesh._follow import RouteSource, Store
 from carobmoor.mesh._messages import (
     Announcement,
@@ -27,5 +32,7 @@
     'RouteSource',
     'Standing',
     'Store',
+    'leave_mesh_node',
     'run_mesh_node',
+    'start_mesh_node',
 ]
--- a/carobmoor/mesh/_announce.py
+++ b/carobmoor/mesh/_announce.py
@@ -1,11 +1,13 @@
 """The backend server's announcements, and the platform's question."""
 
+import asyncio
 import time
 from collections.abc import Callable
 from typing import Final
 
 from result import Err, Result
 
+from carobmoor.mesh._members import Membership
 from carobmoor.mesh._messages import Announcement, Standing
 from carobmoor.mesh._news import NewsDesk
 from carobmoor.mesh._state import MeshNode
@@ -15,52 +17,78 @@
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
 _UNAVAILABLE: Final = 503
+# How long an acknowledgement waits for the store.
+_KEEP_S: Final = 0.5
 _JSON: Final = ((b'content-type', b'application/json'),)
 _log = logger_for('announce')
 
 Read = Callable[[str, bytes], Result[Announcement, str]]
 
 
-async def serve_announcement(
-    node: MeshNode,
-    desk: NewsDesk,
-    read: Read,
-    request: IncomingRequest,
-) -> None:
-    """Take in a heartbeat and acknowledge it."""
-    parts: list[bytes] = []
-    while chunk := await request.read_chunk():
-        parts.append(chunk)
-    heard = read(request.target.decode('latin-1'), b''.join(parts))
-    if isinstance(heard, Err):
-        _log.warning(
-            'Announcement unreadable.',
-            peer=request.peer,
-            fault=heard.err_value,
+class AnnouncementDesk:
+    """Takes in what the backend server tells of itself."""
+
+    def __init__(
+        self,
+        node: MeshNode,
+        desk: NewsDesk,
+        members: Membership,
+        read: Read,
+    ) -> None:
+        """Read announcements with `read`, and tell others of changes."""
+        self._node = node
+        self._desk = desk
+        self._members = members
+        self._read = read
+
+    async def serve(self, request: IncomingRequest) -> None:
+        """Take in an announcement and acknowledge it."""
+        body = b''.join([chunk async for chunk in request.chunks()])
+        heard = self._read(request.target.decode('latin-1'), body)
+        if isinstance(heard, Err):
+            _log.warning(
+                'Announcement unreadable.',
+                peer=request.peer,
+                fault=heard.err_value,
+            )
+            request.respond(_BAD_REQUEST)
+            return
+        announcement = heard.ok_value
+        if self._node.backend.announce(announcement, time.monotonic()):
+            await self._note(announcement)
+        request.respond(_OK, _JSON, b'{}')
+
+    async def _note(self, heard: Announcement) -> None:
+        _log.info(
+            'Backend server announced.',
+            instance=heard.instance_id,
+            standing=heard.standing.value,
+            sequence=heard.sequence,
+            service=heard.service,
+            slots=heard.slots,
         )
-        request.respond(_BAD_REQUEST)
-        return
-    announcement = heard.ok_value
-    if node.backend.announce(announcement, time.monotonic()):
-        _note(node, desk, announcement)
-    request.respond(_OK, _JSON, b'{}')
+        node = self._node
+        is_leaving = heard.standing is not Standing.READY
+        if is_leaving:
+            node.gate.refuse_waiting()
+        node.renew_admission()
+        self._desk.tell_change()
+        if is_leaving:
+            await self._keep()
+
+    async def _keep(self) -> None:
+        """Keep a leaving beyond this process, if the store can be had.
+
+        The acknowledgement does not wait longer: this node itself refuses
+        requests from now on.
+        """
+        try:
+            async with asyncio.timeout(_KEEP_S):
+                await self._members.keep()
+        except TimeoutError:
+            _log.warning('Leaving not kept yet.')
 
 
 async def serve_readiness(node: MeshNode, request: IncomingRequest) -> None:
     """Tell the platform whether callers should be sent here."""
     request.respond(_OK if node.is_ready else _UNAVAILABLE)
-
-
-def _note(node: MeshNode, desk: NewsDesk, heard: Announcement) -> None:
-    _log.info(
-        'Backend server announced.',
-        instance=heard.instance_id,
-        standing=heard.standing.value,
-        sequence=heard.sequence,
-        service=heard.service,
-        slots=heard.slots,
-    )
-    if heard.standing is not Standing.READY:
-        node.gate.refuse_waiting()
-    node.renew_admission()
-    desk.tell_change()
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -77,8 +77,12 @@
         size_kb * _NEAR_MS_PER_KB,
         pursuit.tried,
     )
+    now_s = time.monotonic()
     candidates = node.peers.of_service(pursuit.service)
-    return choose(candidates, wanted, time.monotonic(), node.rng)
+    for peer in candidates:
+        if peer.is_self:
+            peer.note_load(node.load(now_s), now_s)
+    return choose(candidates, wanted, now_s, node.rng)
 
 
 async def attempt(
--- a/carobmoor/mesh/_backend.py
+++ b/carobmoor/mesh/_backend.py
@@ -76,7 +76,7 @@
             return False
         before = self.last
         if heard.standing is not Standing.READY:
-            self._left.add((heard.instance_id, heard.born_ms))
+            self._left.add(_start_of(heard))
         if heard.standing is Standing.GONE and before is not None:
             heard = before._replace(standing=Standing.GONE)
         self.last = heard
@@ -87,6 +87,13 @@
             return True
         return before.standing != heard.standing or before.slots != heard.slots
 
+    def recall(self, known: Announcement) -> None:
+        """Take in what the store kept of an earlier start of this node."""
+        if known.standing is not Standing.READY:
+            self._left.add(_start_of(known))
+        if self.last is None:
+            self.last = known
+
     def note_pace(self, pace_percent: int | None, now_s: float) -> None:
         """Take in the pace that the server told just now."""
         self.pace_at_s = now_s
@@ -104,7 +111,7 @@
 
     def _is_news(self, heard: Announcement) -> bool:
         known = self.last
-        if (heard.instance_id, heard.born_ms) in self._left:
+        if _start_of(heard) in self._left:
             return heard.standing is not Standing.READY and (
                 known is None or _start_of(known) == _start_of(heard)
             )
--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -5,23 +5,27 @@
 import gc
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable
 from typing import Final
 
+from result import Result
+
 from carobmoor.mesh._announce import (
+    AnnouncementDesk,
     Read,
-    serve_announcement,
     serve_readiness,
 )
 from carobmoor.mesh._follow import Follower, RouteSource, Store
 from carobmoor.mesh._forward import serve_caller
 from carobmoor.mesh._measure import measure
 from carobmoor.mesh._members import Membership
+from carobmoor.mesh._messages import MeshSettings
 from carobmoor.mesh._news import NewsDesk
+from carobmoor.mesh._reload import follow_settings
 from carobmoor.mesh._serve_hop import serve_node
 from carobmoor.mesh._state import MeshNode
 from carobmoor.telemetry import logger_for
-from carobmoor.transport import Listener, ServingLimits
+from carobmoor.transport import Listener, ServingLimits, watch_stalls
 
 _MS_PER_S: Final = 1000
 _STEP_S: Final = 0.05
@@ -30,6 +34,7 @@
 # Kept of the time to stop, to end what still runs.
 _STOP_MARGIN_S: Final = 0.4
 _DEFAULT_LONGEST_S: Final = 2
+_WITHDRAW_S: Final = 0.3
 _COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
 _log = logger_for('node')
 
@@ -63,19 +68,43 @@
             lambda: plain,
         )
         self.announcements = Listener(
-            functools.partial(serve_announcement, node, self.desk, read),
+            AnnouncementDesk(node, self.desk, self.members, read).serve,
             lambda: plain,
         )
 
 
-async def run_mesh_node(parts: MeshParts) -> None:
-    """Run a node until it is told to stop and has left gracefully."""
-    node = parts.node
-    settings = node.settings
+async def run_mesh_node(
+    parts: MeshParts,
+    reload: Callable[[], Result[MeshSettings, str]],
+) -> None:
+    """Run a node until it is told to stop and has left gracefully.
+
+    `reload` reads the settings anew, whenever the process is told that they
+    have changed, and at intervals.
+    """
     stopping = asyncio.Event()
+    reloading = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stopping.set)
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reloading.set)
+    tasks = await start_mesh_node(parts)
+    tasks.append(
+        asyncio.create_task(follow_settings(parts.node, reload, reloading)),
+    )
+    _quiet_collector()
+    await stopping.wait()
+    await leave_mesh_node(parts)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    _log.info('Node stopped.', node=parts.node.settings.name)
+
+
+async def start_mesh_node(parts: MeshParts) -> list[asyncio.Task[None]]:
+    """Open the sockets and start the tasks of a node."""
+    node = parts.node
+    settings = node.settings
     own = node.peers.learn(node.record(), settings.region)
     own.is_self = True
     own.round_trip_ms = 0
@@ -85,17 +114,10 @@
     await parts.callers.listen(settings.caller_address)
     await parts.readiness.listen(settings.readiness_address)
     _log.info('Node starts.', node=settings.name, service=settings.service)
-    tasks = _start(parts)
-    _quiet_collector()
-    await stopping.wait()
-    await _leave(parts)
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    _log.info('Node stopped.', node=settings.name)
+    return _start(parts)
 
 
-def _start(parts: MeshParts) -> Sequence[asyncio.Task[None]]:
+def _start(parts: MeshParts) -> list[asyncio.Task[None]]:
     node = parts.node
     duties = (
         parts.follower.run(),
@@ -103,11 +125,13 @@
         parts.desk.run(),
         measure(node, node.pace, parts.desk),
         node.gate.watch(),
+        node.quarantine.spread.run(),
+        watch_stalls(node.stalls),
     )
     return [asyncio.create_task(duty) for duty in duties]
 
 
-async def _leave(parts: MeshParts) -> None:
+async def leave_mesh_node(parts: MeshParts) -> None:
     """Stop without cutting a request: callers first, then the rest.
 
     Requests are taken as long as they can end before the process is killed.
@@ -126,11 +150,22 @@
         busy = node.in_hand or node.gate.state.in_flight_total
         if not busy and idle_s > _QUIET_S:
             break
+    if node.backend.last is None or not node.backend.is_ready:
+        await _withdraw(parts)
     parts.callers.close()
     parts.nodes.close()
     await asyncio.sleep(_STEP_S)
 
 
+async def _withdraw(parts: MeshParts) -> None:
+    """Delete the row: the backend server is gone and won't come back."""
+    try:
+        async with asyncio.timeout(_WITHDRAW_S):
+            await parts.members.withdraw()
+    except TimeoutError:
+        _log.warning('Row not deleted in time.')
+
+
 def _longest_s(node: MeshNode) -> float:
     if node.table is None:
         return _DEFAULT_LONGEST_S
--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -25,6 +25,8 @@
     instance_id: str = ''
     slots: int = 0
     is_leaving: bool = False
+    # The Unix millisecond of the backend server's start; 0 if unknown.
+    born_ms: int = 0
 
     @property
     def address(self) -> Address:
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -9,6 +9,7 @@
 
 from carobmoor.mesh._attempt import attempt, choose_peer
 from carobmoor.mesh._order import until_lost
+from carobmoor.mesh._owner import settle_after_pause
 from carobmoor.mesh._pursuit import Pursuit, discard_body, read_body
 from carobmoor.mesh._relay import pass_on
 from carobmoor.mesh._replies import give_up, refuse, request_id_of, respond
@@ -36,6 +37,9 @@
 
 
 async def _serve(node: MeshNode, request: IncomingRequest) -> None:
+    await settle_after_pause(node)
+    if request.lost.done():
+        raise CallerLost
     table = node.table
     if table is None or time.monotonic() > node.refuses_from_s:
         await discard_body(request)
@@ -70,7 +74,7 @@
     request: IncomingRequest,
     route: Route,
 ) -> Pursuit:
-    now_s = time.monotonic()
+    now_s = node.stalls.earliest_arrival_s(time.monotonic())
     limit_ms = min(_deadline_ms(node, request), route.timeout_ms)
     service = node.splits.next_service(route)
     node.budget.note_request(service, now_s)
--- a/carobmoor/mesh/_members.py
+++ b/carobmoor/mesh/_members.py
@@ -12,20 +12,26 @@
     encode_record,
 )
 from carobmoor.mesh._follow import Store
+from carobmoor.mesh._messages import Announcement, Standing
 from carobmoor.mesh._news import NewsDesk
 from carobmoor.mesh._state import MeshNode
-from carobmoor.store import StoreFault
+from carobmoor.store import StoreFailure, StoreFault
 from carobmoor.telemetry import logger_for
 
 _TABLE: Final = 'nodes'
 _RETRY_S: Final = 0.5
-# After the first reading, for nodes that wrote theirs at the same time.
 _TICK_S: Final = 0.1
+# How long the first row waits for the backend server's first announcement.
+_FIRST_BEAT_S: Final = 2
 _log = logger_for('members')
 
 
 class Membership:
-    """Keeps the own row true, and reads the rows of others at the start."""
+    """Keeps the own row true, and reads the rows of others at the start.
+
+    The row lets nodes that start find this one, and lets its next start know
+    the backend server, and whether that has said that it leaves.
+    """
 
     def __init__(self, node: MeshNode, store: Store, desk: NewsDesk) -> None:
         """Tell the desk of whoever is found."""
@@ -34,15 +40,31 @@
         self._desk = desk
         self._written: NodeRecord | None = None
         self._etag = ''
+        self._writing = asyncio.Lock()
 
     async def run(self) -> None:
-        """Write the row whenever it has changed, until cancelled."""
+        """Read the rows, then write the own whenever it changes."""
+        await self._read_first()
+        started_s = time.monotonic()
+        while True:
+            waits = time.monotonic() < started_s + _FIRST_BEAT_S
+            is_known = bool(self._node.backend.instance_id)
+            if is_known or not waits:
+                await self.keep()
+            await asyncio.sleep(_TICK_S)
+
+    async def _read_first(self) -> None:
         while True:
+            if await self._read():
+                break
+            await asyncio.sleep(_RETRY_S)
+        self._node.has_read_members = True
+
+    async def keep(self) -> None:
+        """Write the row unless it is true already."""
+        async with self._writing:
             if self._is_stale():
                 await self._write()
-            if not self._node.has_read_members and self._written is not None:
-                await self._read()
-            await asyncio.sleep(_TICK_S)
 
     async def withdraw(self) -> None:
         """Delete the row of a node whose backend server is gone."""
@@ -57,51 +79,75 @@
         return str(self._node.settings.node_address)
 
     def _is_stale(self) -> bool:
-        """Tell whether the row would mislead a node that starts.
-
-        Only the address and the service matter to it; the rest is told by
-        the node itself.
-        """
-        record = self._node.record()
         written = self._written
-        if written is None:
-            return True
-        return (written.address, written.service) != (
-            record.address,
-            record.service,
+        return written is None or _told(written) != _told(
+            self._node.kept_record(),
         )
 
     async def _write(self) -> None:
-        record = self._node.record()
+        record = self._node.kept_record()
+        is_first = self._written is None
         content = encode_record(record)
         put = await self._store.put_row(_TABLE, self._key, content, self._etag)
-        if isinstance(put, Ok):
-            self._etag = put.ok_value.etag
-            self._written = record
-            _log.info('Row written.', key=self._key, service=record.service)
+        if isinstance(put, Err):
+            await self._settle(put.err_value)
             return
-        if put.err_value.fault is not StoreFault.PRECONDITION:
+        self._etag = put.ok_value.etag
+        self._written = record
+        _log.info('Row written.', node=self._key, service=record.service)
+        if is_first:
+            # Others that started at the same time have written by now.
+            await self._read()
+
+    async def _settle(self, failure: StoreFailure) -> None:
+        """Learn which row is there after a write that failed."""
+        _log.info('Row not written.', step=failure.step, detail=failure.detail)
+        if failure.fault is not StoreFault.PRECONDITION:
             await asyncio.sleep(_RETRY_S)
-        # The row of an earlier start, or of a write without an answer.
-        await self._read()
+        read = await self._store.get_row(_TABLE, self._key)
+        if isinstance(read, Ok):
+            row = read.ok_value
+            self._etag = '' if row is None else row.etag
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
         read = await self._store.read_rows(_TABLE)
         if isinstance(read, Err):
-            _log.info('Rows not read.', detail=read.err_value.detail)
-            await asyncio.sleep(_RETRY_S)
-            return
+            failure = read.err_value
+            _log.info('Rows not read.', step=failure.step)
+            return False
         for row in read.ok_value.rows:
             record = decode_record(row.content)
-            if row.key == self._key:
-                self._etag = row.etag
-                self._written = record
             if record is None:
-                _log.warning('Row unreadable.', key=row.key)
-                continue
-            self._meet(record)
-        self._node.has_read_members = True
+                _log.warning('Row unreadable.', row=row.key)
+            elif row.key == self._key:
+                self._recall(record, row.etag)
+            else:
+                self._meet(record)
         _log.info('Rows read.', rows=len(read.ok_value.rows))
+        return True
+
+    def _recall(self, record: NodeRecord, etag: str) -> None:
+        """Take in the own row, as an earlier start left it."""
+        if self._written is not None:
+            return
+        self._etag = etag
+        self._written = record
+        node = self._node
+        if not record.instance_id or record.service != node.settings.service:
+            return
+        standing = Standing.LEAVING if record.is_leaving else Standing.READY
+        known = Announcement(
+            record.instance_id,
+            standing,
+            record.born_ms,
+            0,
+            None,
+            record.service,
+            record.slots,
+        )
+        node.backend.recall(known)
+        node.renew_admission()
+        self._desk.tell_change()
 
     def _meet(self, record: NodeRecord) -> None:
         known = self._node.peers.at(record.ip)
@@ -112,3 +158,14 @@
             # Its row may be old: it takes requests once it has answered.
             peer.down_until_s = time.monotonic() + _RETRY_S
             self._desk.greet(peer)
+
+
+def _told(record: NodeRecord) -> tuple[object, ...]:
+    """Give what of a record a start must not be wrong about."""
+    return (
+        record.address,
+        record.service,
+        record.instance_id,
+        record.born_ms,
+        record.is_leaving,
+    )
--- a/carobmoor/mesh/_news.py
+++ b/carobmoor/mesh/_news.py
@@ -56,6 +56,11 @@
             local_addr=(settings.ip, settings.news_port),
         )
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket; called by the event loop."""
         self._transport = transport  # type: ignore[assignment]
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -1,8 +1,9 @@
 """Running a request on the backend server beside this node."""
 
+import asyncio
 import time
 from collections.abc import AsyncIterator
-from typing import Final
+from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
 
@@ -12,6 +13,7 @@
 from carobmoor.mesh._order import Order, failure_of, until_lost
 from carobmoor.mesh._state import MeshNode, rank_name
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from carobmoor.quarantine import Permit, Suspect
 from carobmoor.routes import Kind
 from carobmoor.transport import (
     Answer,
@@ -21,6 +23,7 @@
     OutgoingRequest,
     end_to_end,
     header_of,
+    proves_not_run,
     send,
 )
 
@@ -30,6 +33,15 @@
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _FIRST_FAILED_STATUS: Final = 400
 _FIRST_SERVER_ERROR: Final = 500
+# How long sockets are read before a request that met a pause goes on.
+_SETTLE_S: Final = 0.02
+
+
+class Turn(NamedTuple):
+    """What a request holds while it runs."""
+
+    grant: Grant
+    permit: Permit
 
 
 class OwnAnswer:
@@ -39,7 +51,7 @@
         self,
         node: MeshNode,
         answer: Answer,
-        grant: Grant,
+        turn: Turn,
         started_s: float,
     ) -> None:
         """Bind the answer to the slot that it holds."""
@@ -47,23 +59,25 @@
         self.headers: HeaderList = end_to_end(answer.head.headers)
         self._node = node
         self._answer = answer
-        self._grant = grant
+        self._turn = turn
         self._started_s = started_s
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Give the body, then give the slot back."""
-        is_good = False
+        is_whole = False
         try:
             async for chunk in self._answer.chunks():
                 yield chunk
-            is_good = self.status < _FIRST_SERVER_ERROR
+            is_whole = True
+            await self._node.quarantine.answered(self._turn.permit)
         finally:
-            self._end(is_good)
+            self._end(is_whole and self.status < _FIRST_SERVER_ERROR)
 
     def _end(self, is_good: bool) -> None:
         now_s = time.monotonic()
         took_s = now_s - self._started_s
-        self._node.gate.leave(self._grant, took_s, is_good)
+        self._node.gate.leave(self._turn.grant, took_s, is_good)
+        self._node.quarantine.leave(self._turn.permit)
         self._node.backend.success.note(is_good, now_s)
 
 
@@ -73,25 +87,85 @@
 ) -> Result[OwnAnswer, Failure]:
     """Run a request on the own backend server, unless it is too late."""
     deadline_s = time.monotonic() + order.hop.left_ms / _MS_PER_S
-    refusal = _refusal(node, order)
+    refusal = await _wait_turn(node, order, deadline_s)
     if refusal is not None:
         return Err(refusal)
-    if await node.pace.is_slow():
-        if order.hop.may_bounce:
-            return Err(_not_run(node, Code.SLOW))
-        latest_s = deadline_s - order.hop.work_ms / _MS_PER_S
-        await node.pace.wait_usual(order.hop.work_ms, latest_s)
+    left_s = deadline_s - time.monotonic()
+    permitted = await node.quarantine.enter(_suspect_of(node, order), left_s)
+    if isinstance(permitted, Err):
+        return permitted
+    permit = permitted.ok_value
+    answer: OwnAnswer | None = None
+    try:
+        ran = await _admit(node, order, permit, deadline_s)
+        answer = ran.ok()
+    finally:
+        if answer is None:
+            node.quarantine.leave(permit)
+    return ran
+
+
+async def _wait_turn(
+    node: MeshNode,
+    order: Order,
+    deadline_s: float,
+) -> NotRun | None:
+    """Wait for the usual pace; tell why the request isn't taken instead."""
+    await settle_after_pause(node)
+    refusal = _refusal(node, order)
+    if refusal is not None or not await node.pace.is_slow():
+        return refusal
+    if order.hop.may_bounce:
+        return _not_run(node, Code.SLOW)
+    latest_s = deadline_s - order.hop.work_ms / _MS_PER_S
+    try:
+        await until_lost(
+            order.lost,
+            node.pace.wait_usual(order.hop.work_ms, latest_s),
+        )
+    except CallerLost:
+        return _not_run(node, Code.CALLER_GONE)
+    return None
+
+
+async def settle_after_pause(node: MeshNode) -> None:
+    """Read what waited in sockets during a pause of this process.
+
+    A request that was read first may have been given up meanwhile.
+    """
+    if node.stalls.is_settling(time.monotonic()):
+        await asyncio.sleep(_SETTLE_S)
+
+
+async def _admit(
+    node: MeshNode,
+    order: Order,
+    permit: Permit,
+    deadline_s: float,
+) -> Result[OwnAnswer, Failure]:
     entered = await _enter(node, order, deadline_s)
     if isinstance(entered, Err):
         return entered
     grant = entered.ok_value
-    refusal = _refusal(node, order)
+    refusal = _refusal(node, order) or node.quarantine.recheck(permit)
     if refusal is None and order.lost.done():
         refusal = _not_run(node, Code.CALLER_GONE)
     if refusal is not None:
         node.gate.give_back(grant)
         return Err(refusal)
-    return await _run(node, order, grant, deadline_s)
+    return await _run(node, order, Turn(grant, permit), deadline_s)
+
+
+def _suspect_of(node: MeshNode, order: Order) -> Suspect:
+    return Suspect(
+        order.hop.service,
+        order.method,
+        order.target,
+        header_of(order.headers, node.names.caller_service),
+        '',
+        order.body.first,
+        order.body.length_bytes,
+    )
 
 
 def _refusal(node: MeshNode, order: Order) -> NotRun | None:
@@ -138,10 +212,11 @@
 async def _run(
     node: MeshNode,
     order: Order,
-    grant: Grant,
+    turn: Turn,
     deadline_s: float,
 ) -> Result[OwnAnswer, Failure]:
     started_s = time.monotonic()
+    node.quarantine.crashes.start(turn.permit)
     sending = _send(node, order, deadline_s - started_s)
     answer: Answer | None = None
     try:
@@ -153,10 +228,24 @@
         answer = judged.ok()
     finally:
         if answer is None:
-            node.gate.leave(grant, time.monotonic() - started_s, False)
-    return judged.map(
-        lambda good: OwnAnswer(node, good, grant, started_s),
-    )
+            took_s = time.monotonic() - started_s
+            node.gate.leave(turn.grant, took_s, False)
+    if isinstance(sent, Err):
+        await _note_lost(node, turn, sent.err_value, deadline_s)
+    return judged.map(lambda good: OwnAnswer(node, good, turn, started_s))
+
+
+async def _note_lost(
+    node: MeshNode,
+    turn: Turn,
+    failure: CallFailure,
+    deadline_s: float,
+) -> None:
+    """Tell quarantine of a connection that the backend server lost."""
+    if proves_not_run(failure):
+        node.quarantine.crashes.end(turn.permit)
+    elif time.monotonic() < deadline_s:
+        await node.quarantine.crashes.lost(turn.permit)
 
 
 async def _send(
--- a/carobmoor/mesh/_peers.py
+++ b/carobmoor/mesh/_peers.py
@@ -67,6 +67,11 @@
         """Go through the known nodes."""
         return iter(tuple(self._by_address.values()))
 
+    @property
+    def has_heard(self) -> bool:
+        """Whether another node has told of itself."""
+        return any(peer.heard_at_s for peer in self._by_address.values())
+
     def of_service(self, service: str) -> list[Peer]:
         """Give the nodes whose backend server takes requests of a service."""
         return [
--- /dev/null
+++ b/carobmoor/mesh/_reload.py
@@ -0,0 +1,65 @@
+"""Taking over settings that change while the node runs."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from result import Err, Result
+
+from carobmoor.mesh._messages import MeshSettings
+from carobmoor.mesh._state import MeshNode
+from carobmoor.telemetry import logger_for
+
+# Settings may change without any signal.
+_INTERVAL_S: Final = 2
+_log = logger_for('settings')
+
+
+async def follow_settings(
+    node: MeshNode,
+    reload: Callable[[], Result[MeshSettings, str]],
+    reloading: asyncio.Event,
+) -> None:
+    """Read the settings when told to, and at intervals, until cancelled."""
+    while True:
+        is_told = await _wait(reloading)
+        reloading.clear()
+        read = reload()
+        if isinstance(read, Err):
+            _log.warning('Settings unreadable, kept.', fault=read.err_value)
+            continue
+        if is_told or read.ok_value != node.settings:
+            apply_settings(node, read.ok_value)
+
+
+def apply_settings(node: MeshNode, told: MeshSettings) -> None:
+    """Put in force what can change while the node runs.
+
+    The addresses of this node, of its backend server and of the store are
+    kept until the next start.
+    """
+    kept = node.settings
+    changed = [
+        name
+        for name in kept._fields
+        if getattr(kept, name) != getattr(told, name)
+    ]
+    node.settings = told._replace(
+        ip=kept.ip,
+        backend_server=kept.backend_server,
+        caller_address=kept.caller_address,
+        node_address=kept.node_address,
+        readiness_address=kept.readiness_address,
+        announce_address=kept.announce_address,
+        news_port=kept.news_port,
+        store_address=kept.store_address,
+    )
+    _log.info('Settings read.', changed=changed)
+
+
+async def _wait(reloading: asyncio.Event) -> bool:
+    try:
+        async with asyncio.timeout(_INTERVAL_S):
+            return await reloading.wait()
+    except TimeoutError:
+        return False
--- a/carobmoor/mesh/_serve_hop.py
+++ b/carobmoor/mesh/_serve_hop.py
@@ -17,6 +17,7 @@
     NotRun,
     encode_failure,
 )
+from carobmoor.quarantine import MARKS_TARGET
 from carobmoor.transport import (
     AnswerBroken,
     CallerLost,
@@ -25,6 +26,7 @@
 )
 
 ROUTES_TARGET: Final = b'/_carobmoor/routes'
+_MARKS_TARGET: Final = MARKS_TARGET.encode()
 _UNAVAILABLE: Final = 503
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -38,6 +40,10 @@
         status = _OK if node.document else _NOT_FOUND
         request.respond(status, (), node.document)
         return
+    if request.target == _MARKS_TARGET:
+        marks = await _read_whole(request)
+        request.respond(_OK, (), node.quarantine.spread.answer(marks))
+        return
     hop = decode_hop(header_of(request.headers, HOP_HEADER))
     request_id = header_of(request.headers, node.names.request_id)
     if hop is None:
@@ -64,6 +70,10 @@
         request.abort()
 
 
+async def _read_whole(request: IncomingRequest) -> bytes:
+    return b''.join([chunk async for chunk in request.chunks()])
+
+
 def _body_of(request: IncomingRequest) -> Body:
     length_bytes = request.body_bytes
     if not length_bytes:
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -2,9 +2,11 @@
 
 import random
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
+import msgspec
+
 from carobmoor.admission import AdmissionPolicy, Gate, RankPolicy
 from carobmoor.mesh._backend import Backend
 from carobmoor.mesh._budget import RepeatBudget
@@ -13,14 +15,29 @@
 from carobmoor.mesh._pace import PaceWatch, Question
 from carobmoor.mesh._peers import Peers
 from carobmoor.mesh._work import WorkTimes
+from carobmoor.quarantine import (
+    MARKS_TARGET,
+    Neighbours,
+    Quarantine,
+    QuarantineState,
+    Spread,
+)
 from carobmoor.routes import RouteTable, SplitState
-from carobmoor.transport import ConnectionPool, ServingLimits
+from carobmoor.transport import (
+    ConnectionPool,
+    OutgoingRequest,
+    ServingLimits,
+    StallWatch,
+    parse_address,
+    request_json,
+)
 
 _MS_PER_S: Final = 1000
 _PERMILLE: Final = 1000
 _DEFAULT_TARGET_MS: Final = 500
 # Waiting requests at one backend server.
 _QUEUE_LIMIT: Final = 64
+_MARKS_TIMEOUT_S: Final = 0.5
 
 
 class MeshNode:
@@ -51,6 +68,15 @@
             ),
         )
         self.gate = Gate(AdmissionPolicy(1, _QUEUE_LIMIT, ()))
+        self.stalls = StallWatch(time.monotonic())
+        here = str(settings.node_address)
+        spread = Spread(
+            QuarantineState(),
+            Neighbours(here, self._neighbours),
+            self._tell_marks,
+            self.rng,
+        )
+        self.quarantine = Quarantine(here, settings.backend_server, spread)
         self.incarnation = int(time.time() * _MS_PER_S)
         self.revision = 0
         self.is_leaving = False
@@ -65,8 +91,8 @@
         """Whether callers should be sent here."""
         return (
             self.table is not None
-            and self.has_read_members
             and not self.is_leaving
+            and (self.has_read_members or self.peers.has_heard)
         )
 
     @property
@@ -76,8 +102,14 @@
 
     def record(self) -> NodeRecord:
         """Tell who this node is."""
+        record = self.kept_record()
+        if self.is_leaving:
+            return msgspec.structs.replace(record, is_leaving=True)
+        return record
+
+    def kept_record(self) -> NodeRecord:
+        """Tell what the store keeps for the next start of this node."""
         last = self.backend.last
-        is_ready = self.backend.is_ready and not self.is_leaving
         return NodeRecord(
             self.settings.node_address.ip,
             self.settings.node_address.port,
@@ -87,7 +119,8 @@
             self.settings.service if last is None else last.service,
             self.backend.instance_id,
             0 if last is None else last.slots,
-            last is not None and not is_ready,
+            last is not None and not self.backend.is_ready,
+            0 if last is None else last.born_ms,
         )
 
     def load(self, now_s: float) -> Load:
@@ -128,6 +161,22 @@
         service = self.table.services.get(last.service)
         return None if service is None else service.health_path
 
+    def _neighbours(self) -> Sequence[str]:
+        last = self.backend.last
+        if last is None:
+            return ()
+        return [str(one.address) for one in self.peers.of_service(last.service)]
+
+    async def _tell_marks(self, peer: str, marks: bytes) -> bytes | None:
+        request = OutgoingRequest('POST', MARKS_TARGET, (), marks)
+        told = await request_json(
+            self.node_pool,
+            parse_address(peer),
+            request,
+            _MARKS_TIMEOUT_S,
+        )
+        return told.map(lambda answer: answer.body).ok()
+
     def apply_table(self, table: RouteTable, document: bytes) -> None:
         """Put a version of the routes in force."""
         self.table = table
--- /dev/null
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -0,0 +1,287 @@
+"""Requests of callers get one true answer, whatever the servers do."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from nose2.tools import params
+
+from carobmoor.mesh.tests.fixtures import (
+    NAMES,
+    Backend,
+    Mesh,
+    Serve,
+    mesh_of,
+    ready,
+    route_of,
+    table_of,
+)
+from carobmoor.routes import Kind
+from carobmoor.transport import IncomingRequest, header_of
+
+OK = 200
+BAD_GATEWAY = 502
+NOT_RUN = 503
+TIMED_OUT = 504
+# Far beyond what any of these tests needs.
+TEST_S = 20
+
+
+def plain(
+    status: int,
+    *headers: tuple[bytes, bytes],
+    body: bytes = b'',
+) -> Serve:
+    """Answer every request alike."""
+
+    async def serve(request: IncomingRequest) -> None:
+        await _read(request)
+        request.respond(status, headers, body)
+
+    return serve
+
+
+async def reset(request: IncomingRequest) -> None:
+    """Break off after the request was read."""
+    await _read(request)
+    request.abort()
+
+
+async def cut_short(request: IncomingRequest) -> None:
+    """Break off within the answer."""
+    await _read(request)
+    request.start(OK, _own(request), 100)
+    await request.write(b'part')
+    request.abort()
+
+
+async def stay_silent(request: IncomingRequest) -> None:
+    """Never answer."""
+    await request.lost
+
+
+async def _read(request: IncomingRequest) -> bytes:
+    return b''.join([chunk async for chunk in request.chunks()])
+
+
+def _own(request: IncomingRequest) -> tuple[tuple[bytes, bytes], ...]:
+    request_id = header_of(request.headers, NAMES.request_id).encode()
+    return ((NAMES.request_id, request_id), (NAMES.signature, b'signed'))
+
+
+class Fault(NamedTuple):
+    """How a server fails, and what callers of each kind get."""
+
+    name: str
+    serve: Serve
+    # With one server, for a request that may run once only.
+    once_status: int
+    # With another server that is well, for one that may be repeated.
+    again_status: int
+
+
+SIGNED = (NAMES.signature, b'signed')
+FAULTS = (
+    Fault('resets', reset, BAD_GATEWAY, OK),
+    Fault('breaks off', cut_short, BAD_GATEWAY, OK),
+    Fault('says not run', plain(503, (NAMES.not_run, b'1')), NOT_RUN, OK),
+    Fault('is another instance', plain(421), NOT_RUN, OK),
+    Fault('promises without saying so', plain(503), BAD_GATEWAY, OK),
+    Fault('refuses with a signature', plain(429, SIGNED), BAD_GATEWAY, OK),
+    Fault('succeeds without a signature', plain(200), BAD_GATEWAY, OK),
+    Fault('fails', plain(500, SIGNED), 500, OK),
+    Fault('never answers', stay_silent, TIMED_OUT, TIMED_OUT),
+)
+
+
+def run(test: Callable[[Mesh], Awaitable[Any]], *serves: Serve | None) -> Any:
+    """Run a test with one node for each server."""
+
+    async def main() -> Any:
+        async with asyncio.timeout(TEST_S), mesh_of(*serves) as mesh:
+            return await test(mesh)
+
+    return asyncio.run(main())
+
+
+@params(*((fault,) for fault in FAULTS))
+def test_once_only_request_is_answered_truly(fault):
+    """It runs once at most, and "not run" is said only where it is true."""
+
+    async def ask(mesh: Mesh) -> tuple[int, int]:
+        told = await mesh.ask(mesh.nodes[0], '/post/1', b'x', 400)
+        return told.head.status, len(mesh.nodes[0].backend.ran)
+
+    assert run(ask, fault.serve) == (fault.once_status, 1)
+
+
+@params(*((fault,) for fault in FAULTS))
+def test_idempotent_request_is_tried_elsewhere(fault):
+    """A server that is well answers what another one failed."""
+
+    async def ask(mesh: Mesh) -> int:
+        failing = mesh.nodes[0].backend
+        for number in range(20):
+            told = await mesh.ask(
+                mesh.nodes[0],
+                f'/get/{number}',
+                deadline_ms=400,
+            )
+            if failing.ran:
+                return told.head.status
+        raise AssertionError('the failing server was never chosen')
+
+    assert run(ask, fault.serve, None) == fault.again_status
+
+
+@params(
+    ('/get/1', b'', OK),
+    ('/post/1', b'x' * 10, OK),
+    ('/upload/1', b'x' * 300_000, OK),
+    ('/none/1', b'', 404),
+)
+def test_request_arrives_whole(target, body, status):
+    """Method, path, query, body and id arrive as they were sent."""
+
+    async def ask(mesh: Mesh) -> None:
+        told = await mesh.ask(mesh.nodes[0], f'{target}?a=%20b', body)
+        assert told.head.status == status
+        ran = [
+            (backend, request)
+            for backend in _backends(mesh)
+            for request in backend.ran
+        ]
+        assert len(ran) == (status == OK)
+        for backend, request in ran:
+            assert request.target.decode() == f'{target}?a=%20b'
+            assert backend.bodies == [body]
+            assert header_of(request.headers, NAMES.request_id) == 'request-1'
+            caller = header_of(request.headers, NAMES.caller_service)
+            assert caller == 'bookings'
+            assert header_of(request.headers, NAMES.expected_instance)
+            left_ms = int(header_of(request.headers, NAMES.deadline_ms))
+            assert 0 < left_ms <= 1500
+
+    run(ask, None, None)
+
+
+def test_route_timeout_ends_a_request():
+    """The route's timeout goes before a longer deadline of the caller."""
+
+    async def ask(mesh: Mesh) -> int:
+        mesh.publish(table_of(2, route_of(timeout_ms=200)))
+        await mesh.until(lambda: mesh.nodes[0].node.version == 2)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        told = await mesh.ask(mesh.nodes[0], deadline_ms=5000)
+        assert loop.time() - started_s < 2
+        return told.head.status
+
+    assert run(ask, stay_silent) == TIMED_OUT
+
+
+def test_attempts_of_a_route_bound_the_sends():
+    """No more servers get a request than its route allows."""
+
+    async def ask(mesh: Mesh) -> int:
+        told = await mesh.ask(mesh.nodes[0])
+        assert told.head.status == BAD_GATEWAY
+        return sum(len(backend.ran) for backend in _backends(mesh))
+
+    assert run(ask, reset, reset, reset, reset) == 2
+
+
+def test_request_of_a_caller_that_left_is_cancelled():
+    """The server is told at once when the caller of a reading leaves."""
+
+    async def ask(mesh: Mesh) -> None:
+        asking = asyncio.create_task(mesh.ask(mesh.nodes[0]))
+        backends = _backends(mesh)
+        await mesh.until(lambda: any(one.ran for one in backends))
+        asking.cancel()
+        ran = [request for backend in backends for request in backend.ran]
+        async with asyncio.timeout(0.5):
+            await ran[0].lost
+
+    run(ask, stay_silent, stay_silent)
+
+
+def test_leaving_server_gets_nothing_new():
+    """From its acknowledged leaving on, requests go to the others."""
+
+    async def ask(mesh: Mesh) -> None:
+        leaver = mesh.nodes[0]
+        last = leaver.node.backend.last
+        leaving = ready()._replace(
+            instance_id=last.instance_id,
+            born_ms=last.born_ms,
+            sequence=2,
+            standing=type(last.standing).LEAVING,
+        )
+        leaver.announce(leaving)
+        # A late heartbeat of the same start doesn't call it back.
+        leaver.announce(last._replace(sequence=3))
+        for number in range(10):
+            told = await mesh.ask(mesh.nodes[number % 2], f'/post/{number}')
+            assert told.head.status == OK
+        assert not leaver.backend.ran
+        assert len(mesh.nodes[1].backend.ran) == 10
+
+    run(ask, None, None)
+
+
+def test_slow_server_gets_no_work_at_its_slow_moment():
+    """A request goes to the server that works at its usual pace."""
+
+    async def ask(mesh: Mesh) -> None:
+        slow, usual = mesh.nodes
+        slow.backend.load = '0,0,4,500'
+        usual.backend.load = '0,0,4,100'
+        for beside in mesh.nodes:
+            beside.node.backend.tells_pace = True
+        for number in range(6):
+            await mesh.ask(slow, f'/get/{number}')
+        assert not slow.backend.ran
+        assert len(usual.backend.ran) == 6
+
+    run(ask, None, None)
+
+
+def test_request_that_crashes_servers_is_stopped():
+    """A request that was there when two servers died runs no more."""
+
+    async def ask(mesh: Mesh) -> None:
+        for _ in range(4):
+            told = await mesh.ask(mesh.nodes[2], '/post/bad', b'poison')
+            assert told.head.status in {BAD_GATEWAY, NOT_RUN}
+        crashed = [one for one in _backends(mesh) if one.ran]
+        assert len(crashed) <= 2
+        assert told.head.status == NOT_RUN
+
+    async def main() -> None:
+        mesh = Mesh()
+        try:
+            for place in range(1, 5):
+                await mesh.add(place, _crash_of(mesh, place))
+            await mesh.meet()
+            await ask(mesh)
+        finally:
+            await mesh.close()
+
+    asyncio.run(main())
+
+
+def test_idempotent_kind_follows_the_route():
+    """The method says nothing of what may be repeated."""
+    assert route_of(Kind.NON_IDEMPOTENT).kind is not Kind.IDEMPOTENT
+
+
+def _crash_of(mesh: Mesh, place: int) -> Serve:
+    async def crash(request: IncomingRequest) -> None:
+        await mesh.nodes[place - 1].backend.stop()
+
+    return crash
+
+
+def _backends(mesh: Mesh) -> list[Backend]:
+    return [beside.backend for beside in mesh.nodes]
--- a/carobmoor/node/_daemon.py
+++ b/carobmoor/node/_daemon.py
@@ -25,13 +25,12 @@
 from carobmoor.node._pools import make_pools
 from carobmoor.node._server import make_server
 from carobmoor.node._settings import Settings
-from carobmoor.node._stall import watch_stalls
 from carobmoor.node._state import NodeState
 from carobmoor.routing import RoutingState
 from carobmoor.store import Platform
 from carobmoor.telemetry import configure_logs, logger_for
 from carobmoor.tls import watch as watch_certificate
-from carobmoor.transport import Address, parse_address
+from carobmoor.transport import Address, parse_address, watch_stalls
 
 _CONTROL_PREFIX: Final = '/_carobmoor/'
 _DEFAULT_MOST_HEADER_BYTES: Final = 32768
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -24,7 +24,6 @@
 from carobmoor.node._follow import make_follower
 from carobmoor.node._pools import Pools
 from carobmoor.node._settings import Settings, operators_of
-from carobmoor.node._stall import StallWatch
 from carobmoor.quarantine import (
     MARKS_TARGET,
     Neighbours,
@@ -42,7 +41,7 @@
 from carobmoor.store import Platform
 from carobmoor.telemetry import NodeMetrics
 from carobmoor.tickets import TicketPolicy, TicketTable
-from carobmoor.transport import Address, parse_address
+from carobmoor.transport import Address, StallWatch, parse_address
 
 _NO_POLICY: Final = AdmissionPolicy(0, 0, ())
 _MAY_RUN: Final = frozenset((Standing.ALIVE, Standing.SUSPECT))
--- a/carobmoor/platform/__main__.py
+++ b/carobmoor/platform/__main__.py
@@ -1,6 +1,7 @@
 """Runs a node as the platform starts it: `python -m carobmoor.platform`."""
 
 import asyncio
+import functools
 import os
 import sys
 
@@ -35,7 +36,8 @@
     store = StoreClient(ConnectionPool(), settings.store_address)
     source = RouteSource(OPERATOR_TABLE, CONFIG_KEY, decode_document)
     node = MeshNode(settings, HEADERS)
-    await run_mesh_node(MeshParts(node, store, source, read_announcement))
+    parts = MeshParts(node, store, source, read_announcement)
+    await run_mesh_node(parts, functools.partial(load_settings, path))
     return 0
 
 
--- a/carobmoor/quarantine/_spread.py
+++ b/carobmoor/quarantine/_spread.py
@@ -96,7 +96,7 @@
             await asyncio.sleep(_EXCHANGE_INTERVAL_S)
             expire(self.state, time.monotonic())
             others = self.neighbours.others()
-            if others:
+            if others and self.state.marks:
                 told = self._some_marks()
                 await self._exchange(self._rng.choice(others), told)
 
--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -26,6 +26,7 @@
 from carobmoor.transport._pool import ConnectionPool
 from carobmoor.transport._progress import ProgressMeter
 from carobmoor.transport._serving import Listener
+from carobmoor.transport._stall import StallWatch, watch_stalls
 from carobmoor.transport._steps import CallFailure, Step, proves_not_run
 
 __all__ = [
@@ -45,6 +46,7 @@
     'ProgressFloor',
     'ProgressMeter',
     'ServingLimits',
+    'StallWatch',
     'Step',
     'end_to_end',
     'header_of',
@@ -53,4 +55,5 @@
     'read_whole',
     'request_json',
     'send',
+    'watch_stalls',
 ]
--- a/carobmoor/node/_stall.py
+++ b/carobmoor/transport/_stall.py
@@ -45,7 +45,7 @@
 
 async def watch_stalls(
     watch: StallWatch,
-    note_pause: Callable[[float], None],
+    note_pause: Callable[[float], None] | None = None,
 ) -> None:
     """Keep the beat until cancelled; each tells by how much it was late."""
     while True:
@@ -53,4 +53,5 @@
         await asyncio.sleep(_BEAT_S)
         now_s = time.monotonic()
         watch.beat(now_s)
-        note_pause(now_s - due_s)
+        if note_pause is not None:
+            note_pause(now_s - due_s)
--- a/carobmoor/node/tests/test_stall.py
+++ b/carobmoor/transport/tests/test_stall.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from carobmoor.node._stall import StallWatch
+from carobmoor.transport._stall import StallWatch
 
 
 @params(
