Tell owners the digest of a body, so that a crash request keeps one mark

Cause: the quarantine's fingerprint took what was at hand of the body, which is the whole body at the first node and nothing at another owner.

Change: the first node sends a digest of what it kept of the body.

--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Final
 
+import xxhash
 from result import Err, Ok, Result
 
 from carobmoor.mesh._choose import Wanted, choose
@@ -102,6 +103,7 @@
         left_ms,
         node.work.usual_ms(pursuit.route.name),
         _may_bounce(node, pursuit, peer),
+        xxhash.xxh64_hexdigest(pursuit.body.first),
     )
     headers = _headers_of(node, pursuit)
     peer.in_flight += 1
--- a/carobmoor/mesh/_hop.py
+++ b/carobmoor/mesh/_hop.py
@@ -22,6 +22,8 @@
     work_ms: float
     # Whether it may be handed back while the server is slow.
     may_bounce: bool
+    # Of what the first node kept of the body.
+    body_digest: str
 
 
 _decoder = msgspec.json.Decoder(Hop)
--- a/carobmoor/mesh/_news.py
+++ b/carobmoor/mesh/_news.py
@@ -73,9 +73,6 @@
         elif isinstance(told, Load):
             self._hear_load(told, sender[0])
 
-    def error_received(self, error: Exception) -> None:
-        """Leave alone what the network says of one datagram."""
-
     async def run(self) -> None:
         """Greet those not heard of, and pulse, until cancelled."""
         while True:
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -163,7 +163,7 @@
         order.target,
         header_of(order.headers, node.names.caller_service),
         '',
-        order.body.first,
+        order.hop.body_digest.encode(),
         order.body.length_bytes,
     )
 
--- a/carobmoor/mesh/tests/fixtures.py
+++ b/carobmoor/mesh/tests/fixtures.py
@@ -136,7 +136,8 @@
         self.version += 1
         row = Row(key, content, str(self.version))
         self.tables.setdefault(table, {})[key] = row
-        changed, self._changed = self._changed, asyncio.Event()
+        changed = self._changed
+        self._changed = asyncio.Event()
         changed.set()
         return row
 
--- a/carobmoor/mesh/tests/test_forwarding.py
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -191,7 +191,7 @@
     assert run(ask, reset, reset, reset, reset) == 2
 
 
-def test_request_of_a_caller_that_left_is_cancelled():
+def test_request_of_a_lost_caller_is_cancelled():
     """The server is told at once when the caller of a reading leaves."""
 
     async def ask(mesh: Mesh) -> None:
@@ -230,7 +230,7 @@
     run(ask, None, None)
 
 
-def test_slow_server_gets_no_work_at_its_slow_moment():
+def test_slow_server_gets_no_work():
     """A request goes to the server that works at its usual pace."""
 
     async def ask(mesh: Mesh) -> None:
