Judge the pace against the best of late, at every grant; send second copies

Requests that waited for a slot started on a server that had turned slow meanwhile. The eighth and ninth slot of nine start work beyond the server's knee. Requests to a node that was cut off waited for their deadline.

Change: slow means 1.4 times the best pace of the last 0.6 to 1.2 s; the pace is looked at again whenever a slot comes free; a request waits as long as a slow start would lose more than a usual slow spell; a server gets four fifths of its slots; an idempotent request that takes twice the usual time, or whose owner falls silent, is sent to a second owner with room, within the budget.

Tests: carobmoor/mesh/tests; a silent server is now answered by another one (it ended at the deadline before).

--- a/carobmoor/mesh/_announce.py
+++ b/carobmoor/mesh/_announce.py
@@ -1,7 +1,6 @@
 """The backend server's announcements, and the platform's question."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -54,7 +53,7 @@
             request.respond(_BAD_REQUEST)
             return
         announcement = heard.ok_value
-        if self._node.backend.announce(announcement, time.monotonic()):
+        if self._node.backend.announce(announcement):
             await self._note(announcement)
         request.respond(_OK, _JSON, b'{}')
 
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -73,7 +73,7 @@
     size_kb = size_bytes / _BYTES_PER_KB
     wanted = Wanted(
         pursuit.service,
-        node.work.usual_ms(pursuit.route.name),
+        node.answer_times.usual_ms(pursuit.route.name),
         _FAR_MS + size_kb * _FAR_MS_PER_KB,
         size_kb * _NEAR_MS_PER_KB,
         pursuit.tried,
@@ -101,7 +101,7 @@
         pursuit.route.kind,
         pursuit.route.priority,
         left_ms,
-        node.work.usual_ms(pursuit.route.name),
+        pursuit.route.name,
         _may_bounce(node, pursuit, peer),
         xxhash.xxh64_hexdigest(pursuit.body.first),
     )
--- a/carobmoor/mesh/_backend.py
+++ b/carobmoor/mesh/_backend.py
@@ -2,17 +2,22 @@
 
 from typing import Final, NamedTuple
 
+from carobmoor.mesh._best import BestOfLate
 from carobmoor.mesh._messages import Announcement, Standing
 from carobmoor.routing import SuccessRate
 
 _USUAL_PACE_PERCENT: Final = 100
 _SUCCESS_SMOOTHING: Final = 0.1
-_HOLD_SMOOTHING: Final = 0.1
-_FIRST_HOLD_MS: Final = 150
-_CHANGE_PERCENT: Final = 15
+_SPELL_SMOOTHING: Final = 0.1
+# A pace so far above the base pace counts as slow.
+_SLOW_RATIO: Final = 1.4
+# Before any slow spell was seen to its end.
+_FIRST_SPELL_S: Final = 0.15
+_LONGEST_SPELL_S: Final = 1.0
 _LEAST_PARTS: Final = 3
 _PACE_PART: Final = 3
-_MS_PER_S: Final = 1000
+# The base pace is the best of this time and the one before it.
+_BASE_WINDOW_S: Final = 0.6
 
 
 class LoadHeader(NamedTuple):
@@ -48,10 +53,11 @@
         self.last: Announcement | None = None
         # Starts that said that they leave: (id, born_ms).
         self._left: set[tuple[str, int]] = set()
-        self.cold_until_s = float(0)
         self.pace_percent = _USUAL_PACE_PERCENT
-        self.pace_hold_ms = float(_FIRST_HOLD_MS)
-        self.pace_changed_at_s = float(0)
+        self._base = BestOfLate(_BASE_WINDOW_S)
+        # How long slow moments last, on average.
+        self.slow_spell_s = _FIRST_SPELL_S
+        self._slow_from_s = float(0)
         self.pace_at_s = float(0)
         self.tells_pace = False
         self.success = SuccessRate(_SUCCESS_SMOOTHING)
@@ -61,12 +67,17 @@
         """The id of the announced backend server; empty when there is none."""
         return '' if self.last is None else self.last.instance_id
 
+    @property
+    def base_percent(self) -> int:
+        """The best pace of late."""
+        return int(self._base.best(self.pace_percent))
+
     @property
     def is_ready(self) -> bool:
         """Whether it takes new requests."""
         return self.last is not None and self.last.standing is Standing.READY
 
-    def announce(self, heard: Announcement, now_s: float) -> bool:
+    def announce(self, heard: Announcement) -> bool:
         """Take in an announcement; tell whether it changed anything.
 
         One that is older than what is known, or of a start that said that it
@@ -80,8 +91,6 @@
         if heard.standing is Standing.GONE and before is not None:
             heard = before._replace(standing=Standing.GONE)
         self.last = heard
-        if heard.cold_ms > 0:
-            self.cold_until_s = now_s + heard.cold_ms / _MS_PER_S
         if before is None or _start_of(before) != _start_of(heard):
             self.success.forget()
             return True
@@ -94,20 +103,27 @@
         if self.last is None:
             self.last = known
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the server works slowly for a moment that will pass."""
+        return self.pace_percent > _SLOW_RATIO * self.base_percent
+
     def note_pace(self, pace_percent: int | None, now_s: float) -> None:
         """Take in the pace that the server told just now."""
         self.pace_at_s = now_s
         if pace_percent is None:
             return
         self.tells_pace = True
-        change = abs(pace_percent - self.pace_percent)
-        if change * _USUAL_PACE_PERCENT < _CHANGE_PERCENT * self.pace_percent:
-            return
-        held_ms = (now_s - self.pace_changed_at_s) * _MS_PER_S
-        gap_ms = min(held_ms, 10 * self.pace_hold_ms) - self.pace_hold_ms
-        self.pace_hold_ms += _HOLD_SMOOTHING * gap_ms
+        was_slow = self.is_slow
+        self._base.note(pace_percent, now_s)
         self.pace_percent = pace_percent
-        self.pace_changed_at_s = now_s
+        if was_slow == self.is_slow:
+            return
+        if was_slow:
+            spell_s = min(now_s - self._slow_from_s, _LONGEST_SPELL_S)
+            gap_s = spell_s - self.slow_spell_s
+            self.slow_spell_s += _SPELL_SMOOTHING * gap_s
+        self._slow_from_s = now_s
 
     def _is_news(self, heard: Announcement) -> bool:
         known = self.last
--- a/carobmoor/mesh/_choose.py
+++ b/carobmoor/mesh/_choose.py
@@ -5,14 +5,12 @@
 from typing import Final, NamedTuple
 
 from carobmoor.mesh._peers import Peer
+from carobmoor.mesh._room import room_of
 from carobmoor.transport import Address
 
 _USUAL_PERCENT: Final = 100
 _PERMILLE: Final = 1000
 _MS_PER_S: Final = 1000
-# Beyond this share of busy slots work takes longer.
-_KNEE: Final = 0.75
-_KNEE_SLOPE: Final = 2.5
 # What a lost attempt costs besides its own time.
 _FAILURE_MS: Final = 400
 # Predictions closer than this are taken as equal.
@@ -60,11 +58,9 @@
 
 def predict_ms(peer: Peer, wanted: Wanted, now_s: float) -> float:
     """Predict how long a request takes there, and what its way is worth."""
-    slots = max(1, peer.record.slots)
-    load = (_busy(peer) + 1) / slots
-    crowding = 1 + _KNEE_SLOPE * max(0, min(1, load) - _KNEE)
-    work_ms = wanted.work_ms * crowding
-    queue_ms = wanted.work_ms * max(0, load - 1)
+    base_ms = wanted.work_ms * _base(peer)
+    waiting = max(0, _busy(peer) + 1 - room_of(peer.record.slots))
+    queue_ms = base_ms * waiting / room_of(peer.record.slots)
     success = max(_LEAST_SUCCESS, _success(peer, now_s))
     failing_ms = (1 - success) / success * _FAILURE_MS
     way_ms = (
@@ -73,9 +69,9 @@
     return (
         way_ms
         + queue_ms
-        + work_ms
+        + base_ms
         + failing_ms
-        + _slow_ms(peer, work_ms, now_s)
+        + _slow_ms(peer, wanted.work_ms, now_s)
     )
 
 
@@ -87,19 +83,21 @@
     return max(peer.in_flight, load.running + load.waiting + sent_since)
 
 
+def _base(peer: Peer) -> float:
+    load = peer.load
+    return 1 if load is None else load.base_percent / _USUAL_PERCENT
+
+
 def _slow_ms(peer: Peer, work_ms: float, now_s: float) -> float:
-    """Predict the delay by a pace that is told to be slow just now."""
+    """Predict the delay by a pace that is likely to pass soon."""
     load = peer.load
-    if load is None or load.pace_percent <= _USUAL_PERCENT:
+    if load is None or load.pace_percent <= load.base_percent:
         return 0
-    slowness = load.pace_percent / _USUAL_PERCENT
+    lost = (load.pace_percent - load.base_percent) / _USUAL_PERCENT
     age_ms = (now_s - peer.load_at_s) * _MS_PER_S
-    hold_ms = max(1, load.pace_hold_ms)
-    left_ms = max(hold_ms / 4, hold_ms - age_ms)
-    still_so = max(0, 1 - age_ms / (2 * hold_ms))
-    return still_so * min(
-        work_ms * (slowness - 1), left_ms * (1 - 1 / slowness)
-    )
+    spell_ms = max(1, load.slow_spell_ms)
+    still_so = max(0, 1 - age_ms / (2 * spell_ms))
+    return still_so * min(work_ms * lost, spell_ms)
 
 
 def _success(peer: Peer, now_s: float) -> float:
--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -56,8 +56,10 @@
     waiting: int
     # How long work takes, in percent of what is usual.
     pace_percent: int
-    # How long the pace stays the same, on average.
-    pace_hold_ms: int
+    # The best pace of late; what is beyond it is likely to pass soon.
+    base_percent: int
+    # How long slow moments last, on average.
+    slow_spell_ms: int
     success_permille: int
 
 
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -7,7 +7,8 @@
 
 from result import Err, Ok, Result
 
-from carobmoor.mesh._attempt import attempt, choose_peer
+from carobmoor.mesh._attempt import choose_peer
+from carobmoor.mesh._hedge import attempt_hedged
 from carobmoor.mesh._order import until_lost
 from carobmoor.mesh._owner import settle_after_pause
 from carobmoor.mesh._pursuit import Pursuit, discard_body, read_body
@@ -96,10 +97,10 @@
             return Err(_no_candidate(pursuit))
         pursuit.tried.append(peer.address)
         started_s = time.monotonic()
-        sent = await attempt(node, pursuit, peer)
-        if await pass_on(node, pursuit, peer, sent):
+        attempted = await attempt_hedged(node, pursuit, peer)
+        if await pass_on(node, pursuit, *attempted):
             took_ms = (time.monotonic() - started_s) * _MS_PER_S
-            node.work.note(pursuit.route.name, took_ms)
+            node.answer_times.note(pursuit.route.name, took_ms)
             return Ok(None)
         if not _may_go_on(node, pursuit):
             return Err(_no_candidate(pursuit))
--- a/carobmoor/mesh/_hop.py
+++ b/carobmoor/mesh/_hop.py
@@ -18,8 +18,8 @@
     priority: int
     # What is left until the caller, or its route, gives up.
     left_ms: float
-    # What the request usually takes.
-    work_ms: float
+    # By which owners keep how long requests take.
+    route: str
     # Whether it may be handed back while the server is slow.
     may_bounce: bool
     # Of what the first node kept of the body.
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -11,6 +11,7 @@
 from carobmoor.mesh._backend import read_load
 from carobmoor.mesh._hop import HOP_HEADER
 from carobmoor.mesh._order import Order, failure_of, until_lost
+from carobmoor.mesh._pace import Patience
 from carobmoor.mesh._state import MeshNode, rank_name
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 from carobmoor.quarantine import Permit, Suspect
@@ -28,6 +29,7 @@
 )
 
 _MS_PER_S: Final = 1000
+_USUAL_PERCENT: Final = 100
 _MISDIRECTED: Final = 421
 # Statuses that promise that the request did not run.
 _PROMISES: Final = frozenset((408, 421, 429, 503))
@@ -42,6 +44,10 @@
 
     grant: Grant
     permit: Permit
+    route: str
+    started_s: float
+    # At the start, which decides how long the server works.
+    pace_percent: int
 
 
 class OwnAnswer:
@@ -52,7 +58,6 @@
         node: MeshNode,
         answer: Answer,
         turn: Turn,
-        started_s: float,
     ) -> None:
         """Bind the answer to the slot that it holds."""
         self.status = answer.head.status
@@ -60,7 +65,6 @@
         self._node = node
         self._answer = answer
         self._turn = turn
-        self._started_s = started_s
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Give the body, then give the slot back."""
@@ -75,7 +79,10 @@
 
     def _end(self, is_good: bool) -> None:
         now_s = time.monotonic()
-        took_s = now_s - self._started_s
+        took_s = now_s - self._turn.started_s
+        if is_good:
+            usual_s = took_s * _USUAL_PERCENT / self._turn.pace_percent
+            self._node.work_times.note(self._turn.route, usual_s * _MS_PER_S)
         self._node.gate.leave(self._turn.grant, took_s, is_good)
         self._node.quarantine.leave(self._turn.permit)
         self._node.backend.success.note(is_good, now_s)
@@ -86,11 +93,14 @@
     order: Order,
 ) -> Result[OwnAnswer, Failure]:
     """Run a request on the own backend server, unless it is too late."""
-    deadline_s = time.monotonic() + order.hop.left_ms / _MS_PER_S
-    refusal = await _wait_turn(node, order, deadline_s)
+    await settle_after_pause(node)
+    refusal = _refusal(node, order)
     if refusal is not None:
         return Err(refusal)
-    left_s = deadline_s - time.monotonic()
+    if order.hop.may_bounce and await node.pace.is_slow():
+        return Err(_not_run(node, Code.SLOW))
+    left_s = order.hop.left_ms / _MS_PER_S
+    deadline_s = time.monotonic() + left_s
     permitted = await node.quarantine.enter(_suspect_of(node, order), left_s)
     if isinstance(permitted, Err):
         return permitted
@@ -105,29 +115,6 @@
     return ran
 
 
-async def _wait_turn(
-    node: MeshNode,
-    order: Order,
-    deadline_s: float,
-) -> NotRun | None:
-    """Wait for the usual pace; tell why the request isn't taken instead."""
-    await settle_after_pause(node)
-    refusal = _refusal(node, order)
-    if refusal is not None or not await node.pace.is_slow():
-        return refusal
-    if order.hop.may_bounce:
-        return _not_run(node, Code.SLOW)
-    latest_s = deadline_s - order.hop.work_ms / _MS_PER_S
-    try:
-        await until_lost(
-            order.lost,
-            node.pace.wait_usual(order.hop.work_ms, latest_s),
-        )
-    except CallerLost:
-        return _not_run(node, Code.CALLER_GONE)
-    return None
-
-
 async def settle_after_pause(node: MeshNode) -> None:
     """Read what waited in sockets during a pause of this process.
 
@@ -143,7 +130,7 @@
     permit: Permit,
     deadline_s: float,
 ) -> Result[OwnAnswer, Failure]:
-    entered = await _enter(node, order, deadline_s)
+    entered = await _enter_in_time(node, order, deadline_s)
     if isinstance(entered, Err):
         return entered
     grant = entered.ok_value
@@ -153,7 +140,49 @@
     if refusal is not None:
         node.gate.give_back(grant)
         return Err(refusal)
-    return await _run(node, order, Turn(grant, permit), deadline_s)
+    turn = Turn(
+        grant,
+        permit,
+        order.hop.route,
+        time.monotonic(),
+        node.backend.pace_percent,
+    )
+    return await _run(node, order, turn, deadline_s)
+
+
+async def _enter_in_time(
+    node: MeshNode,
+    order: Order,
+    deadline_s: float,
+) -> Result[Grant, Failure]:
+    """Wait for the usual pace and a slot, until both are there at once."""
+    work_s = node.work_times.usual_ms(order.hop.route) / _MS_PER_S
+    patience = Patience(deadline_s - work_s, work_s)
+    while True:
+        try:
+            await until_lost(order.lost, node.pace.wait_usual(patience))
+        except CallerLost:
+            return Err(_not_run(node, Code.CALLER_GONE))
+        entered = await _enter(node, order, deadline_s)
+        if isinstance(entered, Err):
+            return entered
+        if not await _has_slowed(node, entered.ok_value, patience):
+            return entered
+
+
+async def _has_slowed(
+    node: MeshNode,
+    grant: Grant,
+    patience: Patience,
+) -> bool:
+    """Give a slot back that came free at a slow moment."""
+    is_kept = False
+    try:
+        is_kept = not await node.pace.wants_wait(patience)
+    finally:
+        if not is_kept:
+            node.gate.give_back(grant)
+    return not is_kept
 
 
 def _suspect_of(node: MeshNode, order: Order) -> Suspect:
@@ -215,9 +244,8 @@
     turn: Turn,
     deadline_s: float,
 ) -> Result[OwnAnswer, Failure]:
-    started_s = time.monotonic()
     node.quarantine.crashes.start(turn.permit)
-    sending = _send(node, order, deadline_s - started_s)
+    sending = _send(node, order, deadline_s - turn.started_s)
     answer: Answer | None = None
     try:
         if order.hop.kind is Kind.IDEMPOTENT:
@@ -228,11 +256,11 @@
         answer = judged.ok()
     finally:
         if answer is None:
-            took_s = time.monotonic() - started_s
+            took_s = time.monotonic() - turn.started_s
             node.gate.leave(turn.grant, took_s, False)
     if isinstance(sent, Err):
         await _note_lost(node, turn, sent.err_value, deadline_s)
-    return judged.map(lambda good: OwnAnswer(node, good, turn, started_s))
+    return judged.map(lambda good: OwnAnswer(node, good, turn))
 
 
 async def _note_lost(
--- a/carobmoor/mesh/_pace.py
+++ b/carobmoor/mesh/_pace.py
@@ -22,16 +22,11 @@
     request_json,
 )
 
-_MS_PER_S: Final = 1000
 _USUAL_PERCENT: Final = 100
-# A pace above this counts as slow.
-_SLOW_PERCENT: Final = 140
 # A pace that was told so lately need not be asked for.
 _FRESH_S: Final = 0.008
 # Between two questions while a request waits.
 _POLL_S: Final = 0.012
-# A pace that stays slow for so many usual holds is taken as lasting.
-_LASTING_HOLDS: Final = 3
 _TIMEOUT_S: Final = 0.25
 _log = logger_for('pace')
 
@@ -46,6 +41,14 @@
     path: Callable[[], str | None]
 
 
+class Patience(NamedTuple):
+    """How long a request may wait for the usual pace."""
+
+    latest_s: float
+    # What it takes at the usual pace.
+    work_s: float
+
+
 class PaceWatch:
     """Asks the backend server for its pace, once at a time."""
 
@@ -70,21 +73,26 @@
         if not backend.tells_pace:
             return False
         await self.refresh()
-        if backend.pace_percent <= _SLOW_PERCENT:
-            return False
-        slow_ms = (time.monotonic() - backend.pace_changed_at_s) * _MS_PER_S
-        return slow_ms < _LASTING_HOLDS * backend.pace_hold_ms
+        return backend.is_slow
 
-    async def wait_usual(self, work_ms: float, latest_s: float) -> None:
+    async def wait_usual(self, patience: Patience) -> None:
         """Wait while waiting is likely to be shorter than a slow start."""
-        backend = self._backend
-        slowness = backend.pace_percent / _USUAL_PERCENT
-        gain_s = work_ms * (slowness - 1) / 2 / _MS_PER_S
-        until_s = min(latest_s, time.monotonic() + gain_s)
-        while time.monotonic() + _POLL_S < until_s:
+        while True:
+            if not await self.wants_wait(patience):
+                break
             await asyncio.sleep(_POLL_S)
-            if not await self.is_slow():
-                return
+
+    async def wants_wait(self, patience: Patience) -> bool:
+        """Tell whether a request should wait before it starts."""
+        return await self.is_slow() and self._is_worth_waiting(patience)
+
+    def _is_worth_waiting(self, patience: Patience) -> bool:
+        backend = self._backend
+        lost_percent = backend.pace_percent - backend.base_percent
+        lost_s = patience.work_s * lost_percent / _USUAL_PERCENT
+        if lost_s < backend.slow_spell_s:
+            return False
+        return time.monotonic() + _POLL_S < patience.latest_s
 
     async def _ask(self) -> None:
         try:
--- a/carobmoor/mesh/_relay.py
+++ b/carobmoor/mesh/_relay.py
@@ -42,7 +42,7 @@
     pursuit.may_have_run = True
     is_good = answer.status < _FIRST_SERVER_ERROR
     if not is_good and _is_worth_repeating(node, pursuit):
-        await _drop(answer)
+        await drop(answer)
         peer.success.note(False, time.monotonic())
         detail = f'status {answer.status}'
         pursuit.last_failure = Unknown('answer', str(peer.address), detail)
@@ -73,7 +73,7 @@
     return False
 
 
-async def _drop(answer: Running) -> None:
+async def drop(answer: Running) -> None:
     """Read an answer that nobody wants, so that its slot comes free."""
     try:
         await _read_all(answer)
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -14,7 +14,8 @@
 from carobmoor.mesh._messages import HeaderNames, MeshSettings
 from carobmoor.mesh._pace import PaceWatch, Question
 from carobmoor.mesh._peers import Peers
-from carobmoor.mesh._work import WorkTimes
+from carobmoor.mesh._room import room_of
+from carobmoor.mesh._usual import UsualTimes
 from carobmoor.quarantine import (
     MARKS_TARGET,
     Neighbours,
@@ -52,7 +53,10 @@
         # The document from which the table was decoded, for other nodes.
         self.document = b''
         self.splits = SplitState(self.rng)
-        self.work = WorkTimes()
+        # How long the own server works on requests, at its usual pace, and
+        # how long answers take from wherever they come.
+        self.work_times = UsualTimes()
+        self.answer_times = UsualTimes()
         self.budget = RepeatBudget(settings.bounds)
         self.backend = Backend()
         self.peers = Peers(settings.availability_zone, settings.region)
@@ -126,17 +130,15 @@
     def load(self, now_s: float) -> Load:
         """Tell the load of the backend server."""
         backend = self.backend
-        pace = backend.pace_percent
-        if backend.cold_until_s > now_s:
-            pace *= 2
         return Load(
             self.incarnation,
             self.revision,
             self.version,
             self.gate.state.in_flight_total,
             self.gate.state.queued_total,
-            pace,
-            int(backend.pace_hold_ms),
+            backend.pace_percent,
+            backend.base_percent,
+            int(backend.slow_spell_s * _MS_PER_S),
             int(backend.success.at(now_s) * _PERMILLE),
         )
 
@@ -186,7 +188,7 @@
     def renew_admission(self) -> None:
         """Bring slots and ranks up to date with what is known."""
         last = self.backend.last
-        slots = 1 if last is None else max(1, last.slots)
+        slots = 1 if last is None else room_of(last.slots)
         targets = {} if self.table is None else _targets_ms(self.table)
         share = 0.5 / max(1, len(targets))
         ranks = [
--- a/carobmoor/mesh/_work.py
+++ b/carobmoor/mesh/_usual.py
@@ -1,4 +1,4 @@
-"""How long the requests of each route usually take."""
+"""How long something usually takes for the requests of each route."""
 
 from typing import Final
 
@@ -6,8 +6,8 @@
 _SMOOTHING: Final = 0.05
 
 
-class WorkTimes:
-    """Smoothed service times by route, in milliseconds."""
+class UsualTimes:
+    """Smoothed times by route, in milliseconds."""
 
     def __init__(self) -> None:
         """Start without a measurement."""
