Log and count how requests ended; wait for a first owner

Owners refused requests that named an older instance of their own server.

Change: one line for each request at its node and at its owner, with what decided; bounded by event, written to standard output without waiting; metrics at a port of their own. A request waits up to 0.3 of its time for a first owner; the owner's own instance counts.

--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -1,7 +1,7 @@
 """One attempt: the choice of an owner, and the send to it."""
 
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Final
 
 import xxhash
@@ -44,7 +44,7 @@
 # What an answer and the heads of both ways take of a link.
 _SMALL_BYTES: Final = 1500
 # What a request costs between regions and zones, as a delay of equal worth.
-_FAR_MS: Final = 60
+_FAR_MS: Final = 120
 _FAR_MS_PER_KB: Final = 4
 _NEAR_MS_PER_KB: Final = 0.5
 
@@ -73,7 +73,7 @@
     size_kb = size_bytes / _BYTES_PER_KB
     wanted = Wanted(
         pursuit.service,
-        node.answer_times.usual_ms(pursuit.route.name),
+        node.times.answers.usual_ms(pursuit.route.name),
         _FAR_MS + size_kb * _FAR_MS_PER_KB,
         size_kb * _NEAR_MS_PER_KB,
         pursuit.tried,
@@ -83,7 +83,26 @@
     for peer in candidates:
         if peer.is_self:
             peer.note_load(node.load(now_s), now_s)
-    return choose(candidates, wanted, now_s, node.rng)
+    chosen = choose(candidates, wanted, now_s, node.rng)
+    if chosen is not None:
+        pursuit.chosen = _inputs_of(chosen, now_s)
+    return chosen
+
+
+def _inputs_of(peer: Peer, now_s: float) -> Mapping[str, object]:
+    """Give what was known of an owner when it was chosen."""
+    inputs: dict[str, object] = {
+        'distance': peer.distance,
+        'own_in_flight': peer.in_flight,
+        'down': peer.down_until_s > now_s,
+    }
+    load = peer.load
+    if load is not None:
+        inputs['pace_percent'] = load.pace_percent
+        inputs['base_percent'] = load.base_percent
+        inputs['busy'] = load.running + load.waiting
+        inputs['age_ms'] = int((now_s - peer.load_at_s) * _MS_PER_S)
+    return inputs
 
 
 async def attempt(
@@ -97,7 +116,6 @@
         return Err(NotRun(Code.DEADLINE_LAPSED, 'choice', str(peer.address)))
     hop = Hop(
         pursuit.service,
-        peer.record.instance_id,
         pursuit.route.kind,
         pursuit.route.priority,
         left_ms,
--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -15,6 +15,7 @@
     Read,
     serve_readiness,
 )
+from carobmoor.mesh._ended import serve_metrics
 from carobmoor.mesh._follow import Follower, RouteSource, Store
 from carobmoor.mesh._forward import serve_caller
 from carobmoor.mesh._measure import measure
@@ -54,22 +55,25 @@
         self.follower = Follower(node, store, source)
         self.desk = NewsDesk(node, self.follower.hear_version)
         self.members = Membership(node, store, self.desk)
-        plain = ServingLimits()
         self.callers = Listener(
             functools.partial(serve_caller, node),
             node.limits,
         )
         self.nodes = Listener(
             functools.partial(serve_node, node),
-            lambda: plain,
+            ServingLimits,
         )
         self.readiness = Listener(
             functools.partial(serve_readiness, node),
-            lambda: plain,
+            ServingLimits,
+        )
+        self.metrics = Listener(
+            functools.partial(serve_metrics, node),
+            ServingLimits,
         )
         self.announcements = Listener(
             AnnouncementDesk(node, self.desk, self.members, read).serve,
-            lambda: plain,
+            ServingLimits,
         )
 
 
@@ -113,6 +117,7 @@
     await parts.nodes.listen(settings.node_address)
     await parts.callers.listen(settings.caller_address)
     await parts.readiness.listen(settings.readiness_address)
+    await parts.metrics.listen(settings.metrics_address)
     _log.info('Node starts.', node=settings.name, service=settings.service)
     return _start(parts)
 
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -11,6 +11,7 @@
 from carobmoor.mesh._hedge import attempt_hedged
 from carobmoor.mesh._order import until_lost
 from carobmoor.mesh._owner import settle_after_pause
+from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._pursuit import Pursuit, discard_body, read_body
 from carobmoor.mesh._relay import pass_on
 from carobmoor.mesh._replies import give_up, refuse, request_id_of, respond
@@ -24,6 +25,9 @@
 _DEFAULT_DEADLINE_MS: Final = 10_000
 # Kept of the time left, so that the answer still reaches the caller.
 _ANSWER_MARGIN_MS: Final = 10
+# Of the time left, how much may pass until an owner is known.
+_PATIENT_SHARE: Final = 0.3
+_LOOK_S: Final = 0.02
 _log = logger_for('forward')
 
 
@@ -80,7 +84,9 @@
     service = node.splits.next_service(route)
     node.budget.note_request(service, now_s)
     deadline_s = now_s + (limit_ms - _ANSWER_MARGIN_MS) / _MS_PER_S
-    return Pursuit(request, route, service, deadline_s)
+    pursuit = Pursuit(request, route, service, deadline_s)
+    pursuit.version = node.version
+    return pursuit
 
 
 def _deadline_ms(node: MeshNode, request: IncomingRequest) -> float:
@@ -92,7 +98,7 @@
     """Read the body, then try owners until one answers."""
     pursuit.body = await read_body(pursuit.request)
     while True:
-        peer = choose_peer(node, pursuit)
+        peer = await _choose_patiently(node, pursuit)
         if peer is None:
             return Err(_no_candidate(pursuit))
         pursuit.tried.append(peer.address)
@@ -100,12 +106,25 @@
         attempted = await attempt_hedged(node, pursuit, peer)
         if await pass_on(node, pursuit, *attempted):
             took_ms = (time.monotonic() - started_s) * _MS_PER_S
-            node.answer_times.note(pursuit.route.name, took_ms)
+            node.times.answers.note(pursuit.route.name, took_ms)
             return Ok(None)
         if not _may_go_on(node, pursuit):
             return Err(_no_candidate(pursuit))
 
 
+async def _choose_patiently(node: MeshNode, pursuit: Pursuit) -> Peer | None:
+    """Choose an owner; wait a little where none is known yet.
+
+    After a restart of many nodes, servers become known one by one.
+    """
+    until_s = time.monotonic() + pursuit.left_s * _PATIENT_SHARE
+    while True:
+        peer = choose_peer(node, pursuit)
+        if peer is not None or pursuit.tried or time.monotonic() > until_s:
+            return peer
+        await asyncio.sleep(_LOOK_S)
+
+
 def _no_candidate(pursuit: Pursuit) -> Failure:
     return pursuit.last_failure or NotRun(
         Code.NO_CANDIDATE,
@@ -122,4 +141,7 @@
     if not pursuit.sends:
         return True
     nodes = sum(1 for _ in node.peers)
-    return node.budget.take(pursuit.service, nodes, time.monotonic())
+    may_repeat = node.budget.take(pursuit.service, nodes, time.monotonic())
+    if may_repeat:
+        node.metrics.repeats.labels(pursuit.service).inc()
+    return may_repeat
--- a/carobmoor/mesh/_hedge.py
+++ b/carobmoor/mesh/_hedge.py
@@ -15,6 +15,7 @@
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Failure
 from carobmoor.telemetry import logger_for
+from carobmoor.transport import header_of
 
 _MS_PER_S: Final = 1000
 # A request is stuck that takes so many usual times.
@@ -72,7 +73,7 @@
     copy: asyncio.Task[Sent],
 ) -> None:
     """Wait until the copy has ended, or its owner seems down or too slow."""
-    usual_s = node.answer_times.usual_ms(pursuit.route.name) / _MS_PER_S
+    usual_s = node.times.answers.usual_ms(pursuit.route.name) / _MS_PER_S
     stuck_at_s = time.monotonic() + _STUCK_TIMES * usual_s
     while not copy.done():
         now_s = time.monotonic()
@@ -97,11 +98,14 @@
     nodes = sum(1 for _ in node.peers)
     if not node.budget.take(pursuit.service, nodes, now_s):
         return None
+    node.metrics.repeats.labels(pursuit.service).inc()
     pursuit.tried.append(second.address)
     pursuit.sends += 1
     pursuit.may_have_run = True
+    request = pursuit.request
     _log.info(
         'Second copy sent.',
+        request_id=header_of(request.headers, node.names.request_id),
         route=pursuit.route.name,
         tried=[str(address) for address in pursuit.tried],
         left_ms=int(pursuit.left_s * _MS_PER_S),
--- a/carobmoor/mesh/_hop.py
+++ b/carobmoor/mesh/_hop.py
@@ -13,7 +13,6 @@
     """The order to run a request on the owner's backend server."""
 
     service: str
-    instance_id: str
     kind: Kind
     priority: int
     # What is left until the caller, or its route, gives up.
--- a/carobmoor/mesh/_messages.py
+++ b/carobmoor/mesh/_messages.py
@@ -55,6 +55,7 @@
     # Datagrams between nodes; the same port on every instance.
     news_port: int
     store_address: Address
+    metrics_address: Address
     # The region of each availability zone.
     regions: Mapping[str, str]
     bounds: MeshBounds = MeshBounds()
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -16,6 +16,7 @@
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 from carobmoor.quarantine import Permit, Suspect
 from carobmoor.routes import Kind
+from carobmoor.telemetry import logger_for
 from carobmoor.transport import (
     Answer,
     CallerLost,
@@ -35,6 +36,7 @@
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _FIRST_FAILED_STATUS: Final = 400
 _FIRST_SERVER_ERROR: Final = 500
+_log = logger_for('owner')
 # How long sockets are read before a request that met a pause goes on.
 _SETTLE_S: Final = 0.02
 
@@ -45,6 +47,7 @@
     grant: Grant
     permit: Permit
     route: str
+    waited_s: float
     started_s: float
     # At the start, which decides how long the server works.
     pace_percent: int
@@ -80,9 +83,18 @@
     def _end(self, is_good: bool) -> None:
         now_s = time.monotonic()
         took_s = now_s - self._turn.started_s
+        _log.info(
+            'Request run.',
+            request_id=self._turn.grant.arrival.request_id,
+            status=self.status,
+            whole=is_good,
+            waited_ms=int(self._turn.waited_s * _MS_PER_S),
+            took_ms=int(took_s * _MS_PER_S),
+            pace_percent=self._turn.pace_percent,
+        )
         if is_good:
             usual_s = took_s * _USUAL_PERCENT / self._turn.pace_percent
-            self._node.work_times.note(self._turn.route, usual_s * _MS_PER_S)
+            self._node.times.work.note(self._turn.route, usual_s * _MS_PER_S)
         self._node.gate.leave(self._turn.grant, took_s, is_good)
         self._node.quarantine.leave(self._turn.permit)
         self._node.backend.success.note(is_good, now_s)
@@ -130,6 +142,7 @@
     permit: Permit,
     deadline_s: float,
 ) -> Result[OwnAnswer, Failure]:
+    arrived_s = time.monotonic()
     entered = await _enter_in_time(node, order, deadline_s)
     if isinstance(entered, Err):
         return entered
@@ -140,11 +153,13 @@
     if refusal is not None:
         node.gate.give_back(grant)
         return Err(refusal)
+    started_s = time.monotonic()
     turn = Turn(
         grant,
         permit,
         order.hop.route,
-        time.monotonic(),
+        started_s - arrived_s,
+        started_s,
         node.backend.pace_percent,
     )
     return await _run(node, order, turn, deadline_s)
@@ -156,7 +171,7 @@
     deadline_s: float,
 ) -> Result[Grant, Failure]:
     """Wait for the usual pace and a slot, until both are there at once."""
-    work_s = node.work_times.usual_ms(order.hop.route) / _MS_PER_S
+    work_s = node.times.work.usual_ms(order.hop.route) / _MS_PER_S
     patience = Patience(deadline_s - work_s, work_s)
     while True:
         try:
@@ -203,8 +218,6 @@
     hop = order.hop
     if last is None or last.service != hop.service:
         return _not_run(node, Code.NOT_OWNER)
-    if hop.instance_id and hop.instance_id != last.instance_id:
-        return _not_run(node, Code.NOT_OWNER)
     if not backend.is_ready or node.is_leaving:
         return _not_run(node, Code.LEAVING)
     return None
--- a/carobmoor/mesh/_pursuit.py
+++ b/carobmoor/mesh/_pursuit.py
@@ -1,6 +1,7 @@
 """One caller's request while it is pursued."""
 
 import time
+from collections.abc import Mapping
 from typing import Final
 
 from carobmoor.mesh._order import Body
@@ -27,6 +28,11 @@
         self.route = route
         self.service = service
         self.deadline_s = deadline_s
+        self.started_s = time.monotonic()
+        # The version of the routes that decided.
+        self.version = 0
+        # What decided the last choice, for the log.
+        self.chosen: Mapping[str, object] = {}
         self.body = Body()
         self.tried: list[Address] = []
         # Owners whose server was slow; each is asked once more at most.
--- a/carobmoor/mesh/_relay.py
+++ b/carobmoor/mesh/_relay.py
@@ -5,6 +5,7 @@
 
 from result import Err, Result
 
+from carobmoor.mesh._ended import note_end
 from carobmoor.mesh._order import Running
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._pursuit import Pursuit
@@ -52,6 +53,7 @@
     except AnswerBroken as broken:
         return _break_off(pursuit, peer, broken)
     peer.success.note(is_good, time.monotonic())
+    note_end(node, pursuit, answer.status)
     return True
 
 
--- a/carobmoor/mesh/_reload.py
+++ b/carobmoor/mesh/_reload.py
@@ -53,6 +53,7 @@
         announce_address=kept.announce_address,
         news_port=kept.news_port,
         store_address=kept.store_address,
+        metrics_address=kept.metrics_address,
     )
     _log.info('Settings read.', changed=changed)
 
--- a/carobmoor/mesh/_replies.py
+++ b/carobmoor/mesh/_replies.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from carobmoor.mesh._ended import note_end
 from carobmoor.mesh._pursuit import Pursuit
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Failure, NotRun
@@ -37,6 +38,7 @@
         tried=[str(address) for address in pursuit.tried],
         left_ms=int(pursuit.left_s * _MS_PER_S),
     )
+    note_end(node, pursuit, int(status))
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
         refuse(node, request, _RETRY_AFTER_S)
     else:
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -15,7 +15,7 @@
 from carobmoor.mesh._pace import PaceWatch, Question
 from carobmoor.mesh._peers import Peers
 from carobmoor.mesh._room import room_of
-from carobmoor.mesh._usual import UsualTimes
+from carobmoor.mesh._usual import NodeTimes, UsualTimes
 from carobmoor.quarantine import (
     MARKS_TARGET,
     Neighbours,
@@ -24,6 +24,7 @@
     Spread,
 )
 from carobmoor.routes import RouteTable, SplitState
+from carobmoor.telemetry import NodeMetrics
 from carobmoor.transport import (
     ConnectionPool,
     OutgoingRequest,
@@ -53,10 +54,7 @@
         # The document from which the table was decoded, for other nodes.
         self.document = b''
         self.splits = SplitState(self.rng)
-        # How long the own server works on requests, at its usual pace, and
-        # how long answers take from wherever they come.
-        self.work_times = UsualTimes()
-        self.answer_times = UsualTimes()
+        self.times = NodeTimes(UsualTimes(), UsualTimes())
         self.budget = RepeatBudget(settings.bounds)
         self.backend = Backend()
         self.peers = Peers(settings.availability_zone, settings.region)
@@ -81,6 +79,7 @@
             self.rng,
         )
         self.quarantine = Quarantine(here, settings.backend_server, spread)
+        self.metrics = NodeMetrics()
         self.incarnation = int(time.time() * _MS_PER_S)
         self.revision = 0
         self.is_leaving = False
--- a/carobmoor/mesh/_usual.py
+++ b/carobmoor/mesh/_usual.py
@@ -1,6 +1,6 @@
 """How long something usually takes for the requests of each route."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 _FIRST_MS: Final = 100
 _SMOOTHING: Final = 0.05
@@ -24,3 +24,12 @@
             self._by_route[route_name] = took_ms
         else:
             self._by_route[route_name] = known + _SMOOTHING * (took_ms - known)
+
+
+class NodeTimes(NamedTuple):
+    """The usual times that a node keeps, by route."""
+
+    # How long the own server works, at its usual pace.
+    work: UsualTimes
+    # How long answers take, from wherever they come.
+    answers: UsualTimes
--- a/carobmoor/mesh/tests/fixtures.py
+++ b/carobmoor/mesh/tests/fixtures.py
@@ -309,6 +309,7 @@
             *addresses,
             self._news_port,
             Address('127.0.0.1', 1),
+            Address(ip, free_port(ip)),
             {'a': 'north', 'b': 'north', 'c': 'south'},
         )
         source = RouteSource('op', 'config', self.decode)
@@ -377,6 +378,7 @@
             await beside.backend.stop()
             beside.callers.stop_accepting()
             beside.nodes.stop_accepting()
+            beside.metrics.stop_accepting()
             beside.desk.close()
             beside.node.node_pool.close()
 
--- a/carobmoor/platform/__main__.py
+++ b/carobmoor/platform/__main__.py
@@ -21,7 +21,7 @@
     OPERATOR_TABLE,
     SETTINGS_VARIABLE,
 )
-from carobmoor.telemetry import configure_logs
+from carobmoor.telemetry import configure_bounded_logs
 from carobmoor.transport import ConnectionPool
 
 
@@ -31,12 +31,15 @@
     if isinstance(loaded, Err):
         sys.stderr.write(f'{loaded.err_value}\n')
         return 2
-    configure_logs('info')
+    dropped = configure_bounded_logs('info')
     settings = loaded.ok_value
     store = StoreClient(ConnectionPool(), settings.store_address)
     source = RouteSource(OPERATOR_TABLE, CONFIG_KEY, decode_document)
     node = MeshNode(settings, HEADERS)
     parts = MeshParts(node, store, source, read_announcement)
+    node.metrics.store_calls.set_function(lambda: store.calls)
+    node.metrics.store_down.set_function(lambda: store.is_down)
+    node.metrics.dropped_lines.set_function(lambda: dropped.total)
     await run_mesh_node(parts, functools.partial(load_settings, path))
     return 0
 
--- a/carobmoor/platform/_settings.py
+++ b/carobmoor/platform/_settings.py
@@ -12,7 +12,8 @@
 
 _LISTEN: Final = 'listen.'
 _ZONES: Final = 'zones.'
-_MS_PER_S: Final = 1000
+# Not among those that the platform gives; the deploy file names it.
+METRICS_PORT: Final = 9464
 
 
 class SettingsFault(ValueError):
@@ -64,6 +65,8 @@
         announce_address=_address(fields, f'{_LISTEN}control'),
         news_port=_number(fields, 'internalPorts'),
         store_address=_address(fields, 'platform.address'),
+        # The deploy file names the same port.
+        metrics_address=Address(_text(fields, 'ip'), METRICS_PORT),
         regions={
             name.removeprefix(_ZONES): region
             for name, region in fields.items()
--- a/carobmoor/telemetry/__init__.py
+++ b/carobmoor/telemetry/__init__.py
@@ -1,6 +1,19 @@
 """Logs and metrics of a process."""
 
-from carobmoor.telemetry._logs import configure_logs, logger_for, set_log_level
+from carobmoor.telemetry._logs import (
+    DroppedLines,
+    configure_bounded_logs,
+    configure_logs,
+    logger_for,
+    set_log_level,
+)
 from carobmoor.telemetry._metrics import NodeMetrics
 
-__all__ = ['NodeMetrics', 'configure_logs', 'logger_for', 'set_log_level']
+__all__ = [
+    'DroppedLines',
+    'NodeMetrics',
+    'configure_bounded_logs',
+    'configure_logs',
+    'logger_for',
+    'set_log_level',
+]
--- a/carobmoor/telemetry/_logs.py
+++ b/carobmoor/telemetry/_logs.py
@@ -2,14 +2,28 @@
 
 import logging
 import sys
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import structlog
 
+from carobmoor.telemetry._volume import DroppingWriter, VolumeLimit
+
 _SECRET_KEYS: Final = frozenset(('token', 'authorization', 'password', 'key'))
 _PARTS: Final = '[{part}] {event}'
 
 
+class DroppedLines(NamedTuple):
+    """Who counts the lines that were dropped."""
+
+    limit: VolumeLimit
+    writer: DroppingWriter
+
+    @property
+    def total(self) -> int:
+        """All dropped lines of this process."""
+        return self.limit.dropped + self.writer.dropped
+
+
 def configure_logs(level_name: str) -> None:
     """Write JSON lines to standard error from `level_name` on."""
     structlog.configure(
@@ -28,6 +42,22 @@
     )
 
 
+def configure_bounded_logs(level_name: str) -> DroppedLines:
+    """Write JSON lines to standard output, bounded and without waiting.
+
+    Gives the counts of lines that were dropped.
+    """
+    configure_logs(level_name)
+    limit = VolumeLimit()
+    writer = DroppingWriter(sys.stdout.fileno())
+    processors = structlog.get_config()['processors']
+    structlog.configure(
+        processors=[limit, *processors],
+        logger_factory=structlog.WriteLoggerFactory(writer),  # type: ignore[arg-type]
+    )
+    return DroppedLines(limit, writer)
+
+
 def set_log_level(level_name: str) -> None:
     """Change the level of every logger of this process."""
     structlog.configure(
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -110,6 +110,23 @@
             registry=self.registry,
         )
 
+        self.repeats = Counter(
+            'carobmoor_repeated_sends',
+            'Requests sent once more, by service.',
+            ('service',),
+            registry=self.registry,
+        )
+        self.store_calls = Gauge(
+            'carobmoor_store_calls',
+            'Calls that this node made to the platform.',
+            registry=self.registry,
+        )
+        self.dropped_lines = Gauge(
+            'carobmoor_log_lines_dropped',
+            'Log lines beyond their budget, or that nobody read in time.',
+            registry=self.registry,
+        )
+
     def count_request(
         self,
         service: str,
