--- a/carobmoor/mesh/tests/fixtures.py
+++ b/carobmoor/mesh/tests/fixtures.py
@@ -98,17 +98,18 @@
             return failed
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while self.version <= after_version and not self.is_down:
+                while not self._since(table, after_version):
                     await self._changed.wait()
         if self.is_down:
             return self.failure()
-        rows = [
-            row
-            for row in self.tables.get(table, {}).values()
-            if int(row.etag) > after_version
-        ]
+        rows = self._since(table, after_version)
         return Ok(RowChanges(rows, (), self.version))
 
+    def _since(self, table: str, version: int) -> list[Row]:
+        """Give the rows that changed; a store that is down wakes all."""
+        rows = self.tables.get(table, {}).values()
+        return [row for row in rows if self.is_down or int(row.etag) > version]
+
     async def put_row(
         self, table: str, key: str, content: bytes, etag: str
     ) -> Result[Row, StoreFailure]:
--- /dev/null
+++ b/carobmoor/mesh/tests/test_membership.py
@@ -0,0 +1,209 @@
+"""Versions, leavings and restarts, with and without the store."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from nose2.tools import params
+
+from carobmoor.mesh import Announcement, Standing, leave_mesh_node
+from carobmoor.mesh._backend import Backend, read_load
+from carobmoor.mesh._datagrams import decode_record
+from carobmoor.mesh.tests.fixtures import (
+    DEFAULT_TABLE,
+    Mesh,
+    mesh_of,
+    ready,
+    route_of,
+    table_of,
+)
+
+TEST_S = 20
+FIRST = Announcement('i-1', Standing.READY, 1000, 5, None, 'one', 4)
+LEAVING = FIRST._replace(standing=Standing.LEAVING, sequence=6)
+GONE = Announcement('i-1', Standing.GONE, 1000)
+
+
+def run(test: Callable[[Mesh], Awaitable[Any]], nodes: int) -> Any:
+    """Run a test with so many nodes."""
+
+    async def main() -> Any:
+        async with asyncio.timeout(TEST_S):
+            async with mesh_of(*(None for _ in range(nodes))) as mesh:
+                return await test(mesh)
+
+    return asyncio.run(main())
+
+
+@params(
+    ('late beat', (FIRST, FIRST._replace(sequence=4, slots=9)), 'i-1', 4),
+    ('newer beat', (FIRST, FIRST._replace(sequence=6, slots=9)), 'i-1', 9),
+    (
+        'beat of an older start',
+        (FIRST, FIRST._replace(instance_id='i-0', born_ms=999, sequence=99)),
+        'i-1',
+        4,
+    ),
+    (
+        'same id, newer start',
+        (FIRST, FIRST._replace(born_ms=2000, sequence=1, slots=7)),
+        'i-1',
+        7,
+    ),
+    (
+        'another start',
+        (LEAVING, FIRST._replace(instance_id='i-2', born_ms=2000)),
+        'i-2',
+        4,
+    ),
+)
+def test_newest_announcement_holds(_, heard, instance_id, slots):
+    """What is older than what is known changes nothing."""
+    backend = Backend()
+    for announcement in heard:
+        backend.announce(announcement)
+    assert (backend.last.instance_id, backend.last.slots) == (
+        instance_id,
+        slots,
+    )
+    assert backend.is_ready
+
+
+@params(
+    (FIRST, LEAVING, FIRST._replace(sequence=7)),
+    (FIRST, GONE, FIRST._replace(sequence=7)),
+    (FIRST, LEAVING, GONE, FIRST._replace(sequence=99)),
+)
+def test_leaving_is_final(*heard):
+    """No later word of the same start calls it back."""
+    backend = Backend()
+    for announcement in heard:
+        backend.announce(announcement)
+    assert not backend.is_ready
+
+
+def test_leaving_outlives_a_restart():
+    """A node that starts anew recalls a leaving that it acknowledged."""
+    backend = Backend()
+    backend.recall(LEAVING)
+    backend.announce(FIRST._replace(sequence=9))
+    assert not backend.is_ready
+
+
+@params(
+    ('1,2,9,500', (1, 2, 9, 500)),
+    ('1,2,9', (1, 2, 9, None)),
+    ('1, 2, 9, 100.0', (1, 2, 9, 100)),
+    ('', None),
+    ('1,2', None),
+    ('a,b,c', None),
+)
+def test_load_header(content, expected):
+    """Three figures, and perhaps a pace."""
+    told = read_load(content)
+    assert (told and tuple(told)) == expected
+
+
+def test_version_spreads_without_the_store():
+    """A node that the store fails has the version from another node."""
+
+    async def use(mesh: Mesh) -> None:
+        newer = table_of(2, route_of())
+        mesh.versions[b'v2'] = newer
+        mesh.store.take_down()
+        mesh.nodes[0].follower.take(b'v2', 'store')
+        await mesh.until(
+            lambda: all(one.node.version == 2 for one in mesh.nodes),
+        )
+
+    run(use, 3)
+
+
+def test_version_never_goes_back():
+    """Neither an older version nor an unreadable one is applied."""
+
+    async def use(mesh: Mesh) -> None:
+        mesh.publish(table_of(5, route_of()))
+        await mesh.until(lambda: mesh.nodes[0].node.version == 5)
+        mesh.publish(DEFAULT_TABLE)
+        mesh.store.write('op', 'config', b'unreadable')
+        mesh.publish(table_of(6, route_of()))
+        await mesh.until(lambda: mesh.nodes[0].node.version == 6)
+
+    run(use, 1)
+
+
+def test_leaving_is_kept_in_the_store():
+    """The own row tells the next start that the server leaves."""
+
+    async def use(mesh: Mesh) -> None:
+        beside = mesh.nodes[0]
+        last = beside.node.backend.last
+        beside.announce(
+            last._replace(standing=Standing.LEAVING, sequence=last.sequence + 1)
+        )
+        await beside.members.keep()
+        key = str(beside.node.settings.node_address)
+        rows = mesh.store.tables['nodes']
+        kept = decode_record(rows[key].content)
+        assert kept.is_leaving
+        assert kept.instance_id == last.instance_id
+
+    run(use, 1)
+
+
+def test_row_is_back_after_an_outage():
+    """A row that was written while the store was down comes with it."""
+
+    async def use(mesh: Mesh) -> None:
+        beside = mesh.nodes[0]
+        mesh.store.is_down = True
+        beside.announce(ready()._replace(born_ms=10**9))
+        await asyncio.sleep(0.3)
+        mesh.store.is_down = False
+        loop = asyncio.get_running_loop()
+        back_s = loop.time()
+        key = str(beside.node.settings.node_address)
+        instance_id = beside.node.backend.instance_id
+
+        def is_back() -> bool:
+            row = mesh.store.tables['nodes'][key]
+            return decode_record(row.content).instance_id == instance_id
+
+        await mesh.until(is_back)
+        assert loop.time() - back_s < 2
+
+    run(use, 1)
+
+
+def test_stop_cuts_nothing():
+    """A request in hand is answered, and the others take what follows."""
+
+    async def use(mesh: Mesh) -> None:
+        stopping, staying = mesh.nodes
+        asking = [
+            asyncio.create_task(mesh.ask(stopping, f'/post/{number}', b'x'))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0)
+        leaving = asyncio.create_task(leave_mesh_node(stopping))
+        told = await asyncio.gather(*asking)
+        assert {one.head.status for one in told} == {200}
+        assert not stopping.node.is_ready
+        later = await mesh.ask(staying, '/post/later', b'x')
+        assert later.head.status == 200
+        await leaving
+        ran = [len(one.backend.ran) for one in mesh.nodes]
+        assert sum(ran) == 9
+
+    run(use, 2)
+
+
+def test_store_calls_of_a_start():
+    """A node that starts alone makes a handful of calls."""
+
+    async def use(mesh: Mesh) -> None:
+        await asyncio.sleep(0.5)
+        assert len(mesh.store.calls) <= 5, mesh.store.calls
+
+    run(use, 1)
--- /dev/null
+++ b/carobmoor/routes/tests/test_find.py
@@ -0,0 +1,59 @@
+"""The longest prefix decides, and weights are kept."""
+
+import random
+from collections import Counter
+
+from nose2.tools import params
+
+from carobmoor.routes import (
+    CallerLimits,
+    Kind,
+    Part,
+    Route,
+    RouteTable,
+    SplitState,
+    find_route,
+)
+
+LIMITS = CallerLimits(1, 1, 1, 1)
+
+
+def route_of(prefix: str, *parts: Part) -> Route:
+    """Make a route."""
+    kept = parts or (Part('one', 1),)
+    return Route(prefix, 'h', prefix, Kind.UPLOAD, kept, 1, 1, 1, 1)
+
+
+ROUTES = {prefix: route_of(prefix) for prefix in ('/a/', '/a/b/', '/c/')}
+TABLE = RouteTable(1, {'h.example': ROUTES}, {}, LIMITS)
+
+
+@params(
+    ('h.example', '/a/1', '/a/'),
+    ('H.Example:80', '/a/b', '/a/'),
+    ('h.example', '/a/b/', '/a/b/'),
+    ('h.example', '/a/b/c/d', '/a/b/'),
+    ('h.example', '/a', None),
+    ('h.example', '/ab/c', None),
+    ('h.example', '/', None),
+    ('h.example', '', None),
+    ('other', '/a/1', None),
+)
+def test_find_route(host, path, prefix):
+    """The route of a host and a path."""
+    found = find_route(TABLE, host, path)
+    assert (found and found.prefix) == prefix
+
+
+@params(1, 7, 24)
+def test_split_keeps_the_weights(processes):
+    """Many processes with few requests each keep the shares together."""
+    route = route_of('/a/', Part('one', 90), Part('two', 10))
+    counted: Counter[str] = Counter()
+    for seed in range(processes):
+        split = SplitState(random.Random(seed))
+        counted.update(
+            split.next_service(route) for _ in range(480 // processes)
+        )
+    wanted = counted.total() // 10
+    assert abs(counted['two'] - wanted) < wanted / 2, counted
