Let carobmoor check read the platform's settings

Change: a file of lines with an equals sign is read as the platform's settings; a fault is told with its field.

--- a/carobmoor/cli/_main.py
+++ b/carobmoor/cli/_main.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Final
 
 import fire
 import msgspec
@@ -24,7 +25,10 @@
     settings_schema,
     validate_settings,
 )
-from carobmoor.platform import StoreClient
+from carobmoor.platform import StoreClient, read_settings
+
+# A document or settings of ours begin so; comments may come first.
+_JSON_STARTS: Final = ('{', '[', '/')
 
 
 def node(settings: str) -> None:
@@ -41,7 +45,7 @@
 
 
 def check(path: str) -> None:
-    """Check a settings file or a configuration document.
+    """Check a settings file, ours or the platform's, or a document.
 
     Every fault is printed with its path in the document, what was found and
     what is allowed; the exit code is 2 when there is any.
@@ -53,6 +57,9 @@
         text = Path(path).read_text(encoding='utf-8')
     except OSError as error:
         fail(f'{path}: {error.strerror}')
+    if '=' in text and not text.lstrip().startswith(_JSON_STARTS):
+        _check_platform_settings(path, text)
+        return
     parsed = read_commented(text)
     if isinstance(parsed, Err):
         exit_with_faults(parsed.err_value)
@@ -66,6 +73,14 @@
     sys.stdout.write(f'{path}: valid {kind}\n')
 
 
+def _check_platform_settings(path: str, text: str) -> None:
+    """Check settings as the platform writes them, lines of `a.b=value`."""
+    read = read_settings(text)
+    if isinstance(read, Err):
+        fail(f'{path}: {read.err_value}')
+    sys.stdout.write(f'{path}: valid settings of the platform\n')
+
+
 def schema(of: str = 'configuration') -> None:
     """Print a JSON Schema.
 
