--- /dev/null
+++ b/carobmoor/mesh/_backend_call.py
@@ -0,0 +1,97 @@
+"""One call to the backend server beside this node."""
+
+import time
+from typing import Final
+
+from result import Err, Ok, Result
+
+from carobmoor.mesh._backend import read_load
+from carobmoor.mesh._hop import HOP_HEADER
+from carobmoor.mesh._order import Order, failure_of
+from carobmoor.mesh._state import MeshNode
+from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from carobmoor.transport import (
+    Answer,
+    CallFailure,
+    OutgoingRequest,
+    end_to_end,
+    header_of,
+    send,
+)
+
+_MS_PER_S: Final = 1000
+_MISDIRECTED: Final = 421
+# Statuses that promise that the request did not run.
+_PROMISES: Final = frozenset((408, 421, 429, 503))
+_FIRST_FAILED_STATUS: Final = 400
+
+
+async def send_to_backend(
+    node: MeshNode,
+    order: Order,
+    left_s: float,
+) -> Result[Answer, CallFailure]:
+    """Send a request on, with the time left and the expected instance."""
+    names = node.names
+    left_ms = max(1, int(left_s * _MS_PER_S))
+    managed = (
+        (names.deadline_ms, b'%d' % left_ms),
+        (names.expected_instance, node.backend.instance_id.encode()),
+    )
+    replaced = {HOP_HEADER, names.deadline_ms, names.expected_instance}
+    kept = [
+        header
+        for header in end_to_end(order.headers)
+        if header[0] not in replaced
+    ]
+    request = OutgoingRequest(
+        order.method,
+        order.target,
+        (*kept, *managed),
+        order.body.first,
+        order.body.rest,
+        echoed=(names.request_id, order.request_id),
+    )
+    return await send(
+        node.backend_pool,
+        node.settings.backend_server,
+        request,
+        left_s,
+    )
+
+
+def judge_answer(
+    node: MeshNode,
+    sent: Result[Answer, CallFailure],
+    deadline_s: float,
+) -> Result[Answer, Failure]:
+    """Tell an answer to pass on from a failure, and learn from both."""
+    now_s = time.monotonic()
+    if isinstance(sent, Err):
+        if now_s < deadline_s:
+            node.backend.success.note(False, now_s)
+        return Err(failure_of(sent.err_value))
+    answer = sent.ok_value
+    load = read_load(header_of(answer.head.headers, node.names.load))
+    if load is not None:
+        node.backend.note_pace(load.pace_percent, now_s)
+    failure = _fault_of(node, answer)
+    if failure is None:
+        return Ok(answer)
+    answer.abandon('no answer to pass on')
+    node.backend.success.note(False, now_s)
+    return Err(failure)
+
+
+def _fault_of(node: MeshNode, answer: Answer) -> Failure | None:
+    """Tell why an answer is not passed on; `None` when it is."""
+    headers = answer.head.headers
+    status = answer.head.status
+    peer = str(answer.address)
+    if header_of(headers, node.names.not_run) or status == _MISDIRECTED:
+        return NotRun(Code.NOT_SENT, 'answer', peer, f'status {status}')
+    is_signed = bool(header_of(headers, node.names.signature))
+    is_success = status < _FIRST_FAILED_STATUS
+    if status in _PROMISES or (is_success and not is_signed):
+        return Unknown('answer', peer, f'status {status} can not be told')
+    return None
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -8,12 +8,11 @@
 from result import Err, Ok, Result
 
 from carobmoor.admission import Arrival, Grant
-from carobmoor.mesh._backend import read_load
-from carobmoor.mesh._hop import HOP_HEADER
-from carobmoor.mesh._order import Order, failure_of, until_lost
+from carobmoor.mesh._backend_call import judge_answer, send_to_backend
+from carobmoor.mesh._order import Order, until_lost
 from carobmoor.mesh._pace import Patience
 from carobmoor.mesh._state import MeshNode, rank_name
-from carobmoor.outcomes import Code, Failure, NotRun, Unknown
+from carobmoor.outcomes import Code, Failure, NotRun
 from carobmoor.quarantine import Permit, Suspect
 from carobmoor.routes import Kind
 from carobmoor.telemetry import logger_for
@@ -22,19 +21,13 @@
     CallerLost,
     CallFailure,
     HeaderList,
-    OutgoingRequest,
     end_to_end,
     header_of,
     proves_not_run,
-    send,
 )
 
 _MS_PER_S: Final = 1000
 _USUAL_PERCENT: Final = 100
-_MISDIRECTED: Final = 421
-# Statuses that promise that the request did not run.
-_PROMISES: Final = frozenset((408, 421, 429, 503))
-_FIRST_FAILED_STATUS: Final = 400
 _FIRST_SERVER_ERROR: Final = 500
 _log = logger_for('owner')
 # How long sockets are read before a request that met a pause goes on.
@@ -258,14 +251,14 @@
     deadline_s: float,
 ) -> Result[OwnAnswer, Failure]:
     node.quarantine.crashes.start(turn.permit)
-    sending = _send(node, order, deadline_s - turn.started_s)
+    sending = send_to_backend(node, order, deadline_s - turn.started_s)
     answer: Answer | None = None
     try:
         if order.hop.kind is Kind.IDEMPOTENT:
             sent = await until_lost(order.lost, sending)
         else:
             sent = await sending
-        judged = _judge(node, sent, deadline_s)
+        judged = judge_answer(node, sent, deadline_s)
         answer = judged.ok()
     finally:
         if answer is None:
@@ -287,72 +280,3 @@
         node.quarantine.crashes.end(turn.permit)
     elif time.monotonic() < deadline_s:
         await node.quarantine.crashes.lost(turn.permit)
-
-
-async def _send(
-    node: MeshNode,
-    order: Order,
-    left_s: float,
-) -> Result[Answer, CallFailure]:
-    names = node.names
-    left_ms = max(1, int(left_s * _MS_PER_S))
-    managed = (
-        (names.deadline_ms, b'%d' % left_ms),
-        (names.expected_instance, node.backend.instance_id.encode()),
-    )
-    replaced = {HOP_HEADER, names.deadline_ms, names.expected_instance}
-    kept = [
-        header
-        for header in end_to_end(order.headers)
-        if header[0] not in replaced
-    ]
-    request = OutgoingRequest(
-        order.method,
-        order.target,
-        (*kept, *managed),
-        order.body.first,
-        order.body.rest,
-        echoed=(names.request_id, order.request_id),
-    )
-    return await send(
-        node.backend_pool,
-        node.settings.backend_server,
-        request,
-        left_s,
-    )
-
-
-def _judge(
-    node: MeshNode,
-    sent: Result[Answer, CallFailure],
-    deadline_s: float,
-) -> Result[Answer, Failure]:
-    now_s = time.monotonic()
-    if isinstance(sent, Err):
-        if now_s < deadline_s:
-            node.backend.success.note(False, now_s)
-        return Err(failure_of(sent.err_value))
-    answer = sent.ok_value
-    load = read_load(header_of(answer.head.headers, node.names.load))
-    if load is not None:
-        node.backend.note_pace(load.pace_percent, now_s)
-    failure = _fault_of(node, answer)
-    if failure is None:
-        return Ok(answer)
-    answer.abandon('no answer to pass on')
-    node.backend.success.note(False, now_s)
-    return Err(failure)
-
-
-def _fault_of(node: MeshNode, answer: Answer) -> Failure | None:
-    """Tell why an answer is not passed on; `None` when it is."""
-    headers = answer.head.headers
-    status = answer.head.status
-    peer = str(answer.address)
-    if header_of(headers, node.names.not_run) or status == _MISDIRECTED:
-        return NotRun(Code.NOT_SENT, 'answer', peer, f'status {status}')
-    is_signed = bool(header_of(headers, node.names.signature))
-    is_success = status < _FIRST_FAILED_STATUS
-    if status in _PROMISES or (is_success and not is_signed):
-        return Unknown('answer', peer, f'status {status} can not be told')
-    return None
