Give each stand-in of the store a router of its own

Cause of the red breaker test: applications of one process share a default router, so a later stand-in answered with the rows and faults of an earlier one; outside nose2 only one stood at a time.

--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -13,7 +13,7 @@
 
 import fire
 import uvicorn
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Content, Request, Response, Router
 
 
 class Faults:
@@ -60,7 +60,8 @@
 
 def make_application(store: Store, faults: Faults) -> Application:
     """Make the application over a store and its faults."""
-    app = Application()
+    # Its own router: the default one is shared by all of a process.
+    app = Application(router=Router())
     _route_rows(app, store, faults)
     _route_objects(app, store)
     _route_faults(app, faults)
