Let three nodes of a region watch the store for all of them

Change: nodes stand in an order that all compute alike; the first three that live and have the store watch it, and tell the version at once. The others ask whoever told it, for a packed document, and read the store only if that node fails. Test: a version cost a call of each of six nodes (36 for six versions); now a call of each watcher. A watcher that dies is replaced.

--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -61,6 +61,8 @@
     # How long slow moments last, on average.
     slow_spell_ms: int
     success_permille: int
+    # Whether its last call to the store was answered.
+    has_store: bool = True
 
 
 Datagram = Hello | Load
--- a/carobmoor/mesh/_follow.py
+++ b/carobmoor/mesh/_follow.py
@@ -2,25 +2,39 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from result import Err, Result
 
+from carobmoor.mesh._packed import unpack_routes
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._serve_hop import ROUTES_TARGET
 from carobmoor.mesh._state import MeshNode
+from carobmoor.mesh._watchers import is_watcher
 from carobmoor.routes import RouteTable
-from carobmoor.store import RowChanges, Store, StoreFailure, StoreFault
+from carobmoor.store import (
+    Row,
+    RowChanges,
+    Store,
+    StoreFailure,
+    StoreFault,
+)
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import OutgoingRequest, request_json
 
 # One wait for changes; the connection's keep-alive shows a silent store.
 _WATCH_S: Final = 25
 _RETRY_S: Final = 0.3
-_PEER_TIMEOUT_S: Final = 1.0
-# How long the store goes first before another node is asked.
+# A version must be in force two seconds after it was written, also where the
+# first node that is asked doesn't answer.
+_PEER_TIMEOUT_S: Final = 0.5
+# How long a watcher leaves the store the lead before it asks another node.
 _STORE_FIRST_S: Final = 0.3
+# After the first read, until the nodes of the region have told of themselves.
+_SETTLE_S: Final = 0.5
+# How often a node that doesn't watch looks whether it should.
+_LOOK_S: Final = 0.1
 _log = logger_for('follow')
 
 Decode = Callable[[bytes], Result[RouteTable, str]]
@@ -50,12 +64,18 @@
         self._store = store
         self._source = source
         self._fetching: asyncio.Task[None] | None = None
-        self._is_connected = True
+        self._watches = True
 
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Read the routes, then watch them when it is on this node to do so.
+
+        Runs until cancelled.
+        """
         version: int | None = None
+        settled_s = time.monotonic() + _SETTLE_S
         while True:
+            if version is not None and await self._await_turn(settled_s):
+                version = None
             got = await self._next(version)
             self._note_store(got)
             if isinstance(got, Err):
@@ -64,9 +84,26 @@
                     await asyncio.sleep(_RETRY_S)
                 continue
             version = got.ok_value.version
-            for row in got.ok_value.rows:
-                if row.key == self._source.key:
-                    self.take(row.content, 'store')
+            self._take_rows(got.ok_value.rows)
+
+    async def _await_turn(self, settled_s: float) -> bool:
+        """Wait until this node is a watcher; tell whether it had to wait.
+
+        Changes of the meantime come from other nodes.
+        """
+        await asyncio.sleep(max(0, settled_s - time.monotonic()))
+        has_waited = False
+        while not is_watcher(self._node, time.monotonic()):
+            self._note_turn(watches=False)
+            has_waited = True
+            await asyncio.sleep(_LOOK_S)
+        self._note_turn(watches=True)
+        return has_waited
+
+    def _note_turn(self, watches: bool) -> None:
+        if watches != self._watches:
+            self._watches = watches
+            _log.info('Watch of the store.', watches=watches)
 
     async def _next(
         self,
@@ -112,7 +149,8 @@
             self._fetching = None
 
     async def _ask(self, version: int, peer: Peer) -> None:
-        await asyncio.sleep(_STORE_FIRST_S)
+        if self._watches and self._node.store_sight.has_store:
+            await asyncio.sleep(_STORE_FIRST_S)
         if self._node.version >= version:
             return
         got = await request_json(
@@ -128,16 +166,39 @@
                 step=got.err_value.step.value,
                 reason=got.err_value.reason,
             )
+            await self._read_store()
+            return
+        unpacked = unpack_routes(got.ok_value.body)
+        if isinstance(unpacked, Err):
+            _log.warning(
+                'Routes of a node unreadable.',
+                peer=str(peer.address),
+                fault=unpacked.err_value,
+            )
+            await self._read_store()
             return
-        self.take(got.ok_value.body, str(peer.address))
+        self.take(unpacked.ok_value, str(peer.address))
+
+    async def _read_store(self) -> None:
+        """Read the routes from the store when a node failed to tell them."""
+        got = await self._next(None)
+        if isinstance(got, Err):
+            _log.info('Routes not read.', step=got.err_value.step)
+            return
+        self._take_rows(got.ok_value.rows)
+
+    def _take_rows(self, rows: Sequence[Row]) -> None:
+        for row in rows:
+            if row.key == self._source.key:
+                self.take(row.content, 'store')
 
     def _note_store(self, got: Result[RowChanges, StoreFailure]) -> None:
         is_connected = not isinstance(got, Err) or (
             got.err_value.fault is StoreFault.HISTORY_LOST
         )
-        if is_connected == self._is_connected:
+        if is_connected == self._node.store_sight.has_store:
             return
-        self._is_connected = is_connected
+        self._node.store_sight.has_store = is_connected
         if isinstance(got, Err):
             failure = got.err_value
             _log.warning(
--- a/carobmoor/mesh/_members.py
+++ b/carobmoor/mesh/_members.py
@@ -57,7 +57,7 @@
             if await self._read():
                 break
             await asyncio.sleep(_RETRY_S)
-        self._node.has_read_members = True
+        self._node.store_sight.has_read_members = True
 
     async def keep(self) -> None:
         """Write the row unless it is true already."""
--- a/carobmoor/mesh/_news.py
+++ b/carobmoor/mesh/_news.py
@@ -46,6 +46,7 @@
         self._on_version = on_version
         self._transport: asyncio.DatagramTransport | None = None
         self._told_at_s = float(0)
+        self._told_version = 0
 
     async def open(self) -> None:
         """Open the socket."""
@@ -78,7 +79,8 @@
         while True:
             await asyncio.sleep(_TICK_S)
             now_s = time.monotonic()
-            if now_s - self._told_at_s >= _PULSE_S:
+            is_newer = self._node.version != self._told_version
+            if is_newer or now_s - self._told_at_s >= _PULSE_S:
                 self.tell_load()
             for peer in self._node.peers:
                 if not peer.is_self:
@@ -125,6 +127,7 @@
         """Tell the nodes of the region the load of the own server."""
         now_s = time.monotonic()
         self._told_at_s = now_s
+        self._told_version = self._node.version
         load = self._node.load(now_s)
         content = encode_datagram(load)
         for peer in self._node.peers:
--- a/carobmoor/mesh/_serve_hop.py
+++ b/carobmoor/mesh/_serve_hop.py
@@ -9,6 +9,7 @@
 from carobmoor.mesh._hop import HOP_HEADER, decode_hop
 from carobmoor.mesh._order import Body, Order
 from carobmoor.mesh._owner import OwnAnswer, run_here
+from carobmoor.mesh._packed import pack_routes
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import (
     OUTCOME_HEADER,
@@ -38,7 +39,7 @@
     """Answer a request of another node."""
     if request.target == ROUTES_TARGET:
         status = _OK if node.document else _NOT_FOUND
-        request.respond(status, (), node.document)
+        request.respond(status, (), pack_routes(node.document))
         return
     if request.target == _MARKS_TARGET:
         marks = await _read_whole(request)
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -42,6 +42,16 @@
 _MARKS_TIMEOUT_S: Final = 0.5
 
 
+class StoreSight:
+    """What this node has had from the store since its start."""
+
+    def __init__(self) -> None:
+        """Start with nothing read, and the store taken to be there."""
+        self.has_read_members = False
+        # Whether the last call for the routes was answered.
+        self.has_store = True
+
+
 class MeshNode:
     """One node: its settings, what it knows, and what it holds open."""
 
@@ -85,7 +95,7 @@
         self.is_leaving = False
         # From then on requests of callers are refused; none before a stop.
         self.refuses_from_s = float('inf')
-        self.has_read_members = False
+        self.store_sight = StoreSight()
         self.in_hand = 0
         self.last_request_s = float(0)
 
@@ -95,7 +105,7 @@
         return (
             self.table is not None
             and not self.is_leaving
-            and (self.has_read_members or self.peers.has_heard)
+            and (self.store_sight.has_read_members or self.peers.has_heard)
         )
 
     @property
@@ -139,6 +149,7 @@
             backend.base_percent,
             int(backend.slow_spell_s * _MS_PER_S),
             int(backend.success.at(now_s) * _PERMILLE),
+            self.store_sight.has_store,
         )
 
     def limits(self) -> ServingLimits:
--- /dev/null
+++ b/carobmoor/mesh/tests/test_packed.py
@@ -0,0 +1,30 @@
+"""Documents survive the way between nodes, and damaged ones are refused."""
+
+from nose2.tools import params
+
+from carobmoor.mesh._packed import pack_routes, unpack_routes
+
+DOCUMENT = b'{"routes": []}' * 100
+TOO_LARGE = b' ' * 1_000_001
+
+
+@params(b'', DOCUMENT)
+def test_unpacked_as_it_was(document):
+    """What was packed comes back."""
+    assert unpack_routes(pack_routes(document)).ok() == document
+
+
+def test_packed_is_smaller():
+    """A repetitive document takes less than a tenth."""
+    assert len(pack_routes(DOCUMENT)) * 10 < len(DOCUMENT)
+
+
+@params(
+    ('empty', b''),
+    ('no packing', DOCUMENT),
+    ('cut short', pack_routes(DOCUMENT)[:-5]),
+    ('too large', pack_routes(TOO_LARGE)),
+)
+def test_damaged_is_refused(_, packed):
+    """Nothing is taken from bytes that are not a whole document."""
+    assert unpack_routes(packed).is_err()
--- /dev/null
+++ b/carobmoor/mesh/tests/test_watchers.py
@@ -0,0 +1,128 @@
+"""A few nodes of a region watch the store, and all have its versions."""
+
+import functools
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from nose2.tools import params
+
+from carobmoor.mesh._datagrams import Load, NodeRecord
+from carobmoor.mesh._watchers import is_watcher
+from carobmoor.mesh.tests.fixtures import Mesh, free_port, route_of, table_of
+from carobmoor.mesh.tests.test_membership import run
+from carobmoor.transport import Address
+
+WATCHERS = 3
+NODES = 6
+# So many that some come first, whatever their order.
+OTHERS = 40
+VERSIONS = range(2, 8)
+IN_FORCE_S = 2.0
+
+
+def test_version_costs_a_call_of_each_watcher():
+    """The other nodes take the routes from the watchers."""
+
+    async def use(mesh: Mesh) -> None:
+        await mesh.until(lambda: len(_watching(mesh)) == WATCHERS)
+        mesh.store.calls.clear()
+        for version in VERSIONS:
+            mesh.publish(table_of(version, route_of()))
+            written_s = time.monotonic()
+            await mesh.until(functools.partial(_all_have, mesh, version))
+            assert time.monotonic() - written_s < IN_FORCE_S
+        most = WATCHERS * (len(VERSIONS) + 1)
+        assert len(mesh.store.calls) <= most, mesh.store.calls
+
+    run(use, NODES)
+
+
+def test_another_watches_after_a_watcher_is_gone():
+    """A watcher that dies is replaced, and versions go on."""
+
+    async def use(mesh: Mesh) -> None:
+        await mesh.until(lambda: len(_watching(mesh)) == WATCHERS)
+        for beside in _watching(mesh):
+            for task in beside.tasks:
+                task.cancel()
+            beside.desk.close()
+            beside.nodes.stop_accepting()
+            mesh.nodes.remove(beside)
+        await mesh.until(lambda: len(_watching(mesh)) == NODES - WATCHERS)
+        mesh.publish(table_of(2, route_of()))
+        await mesh.until(lambda: _all_have(mesh, 2))
+
+    run(use, NODES)
+
+
+def test_store_is_read_when_a_node_does_not_tell():
+    """A version that another node names but does not give is read."""
+
+    async def use(mesh: Mesh) -> None:
+        beside = mesh.nodes[0]
+        mesh.publish(table_of(2, route_of()))
+        silent = _record('127.0.2.99', free_port('127.0.2.99'))
+        peer = beside.node.peers.learn(silent, 'north')
+        beside.follower.hear_version(2, peer)
+        await mesh.until(lambda: beside.node.version == 2)
+
+    run(use, 1)
+
+
+@params(
+    ('alone', 0, {}, True),
+    ('all well', OTHERS, {}, False),
+    ('all down', OTHERS, {'is_down': True}, True),
+    ('no store', OTHERS, {'has_store': False}, True),
+    ('not heard', OTHERS, {'is_heard': False}, True),
+    ('far', OTHERS, {'region': 'south'}, True),
+)
+def test_who_watches(_, others, other, expected):
+    """Only living nodes of the region with a store are counted."""
+    node = Mesh().make(1).node
+    now_s = time.monotonic()
+    for place in range(others):
+        _meet(node, place, other, now_s)
+    assert is_watcher(node, now_s) == expected
+
+
+def test_each_region_has_watchers():
+    """Whatever the addresses, as many nodes watch as there should."""
+    mesh = Mesh()
+    nodes = [mesh.make(place).node for place in range(1, 31)]
+    now_s = time.monotonic()
+    for node in nodes:
+        for other in nodes:
+            if other is not node:
+                peer = node.peers.learn(other.record(), 'north')
+                peer.note_load(_load(has_store=True), now_s)
+    watching = [node for node in nodes if is_watcher(node, now_s)]
+    assert len(watching) == WATCHERS
+
+
+def _watching(mesh: Mesh) -> Sequence[Any]:
+    now_s = time.monotonic()
+    return [one for one in mesh.nodes if is_watcher(one.node, now_s)]
+
+
+def _all_have(mesh: Mesh, version: int) -> bool:
+    return all(one.node.version == version for one in mesh.nodes)
+
+
+def _meet(node: Any, place: int, other: Any, now_s: float) -> None:
+    record = _record(f'127.0.3.{place}', 1)
+    peer = node.peers.learn(record, other.get('region', 'north'))
+    if other.get('is_heard', True):
+        peer.note_load(_load(other.get('has_store', True)), now_s)
+    if other.get('is_down', False):
+        peer.down_until_s = now_s + 1
+
+
+def _record(ip: str, port: int) -> NodeRecord:
+    address = Address(ip, port)
+    return NodeRecord(address.ip, address.port, 1, 0, 'b', 'bookings', 'i', 4)
+
+
+def _load(has_store: bool) -> Load:
+    return Load(1, 0, 1, 0, 0, 100, 100, 150, 1000, has_store)
