Refuse requests without an id; test malformed requests on the mesh node

Cause: a caller's request without an id was sent on, though no answer to it could be told from another's; the first of 17 malformed requests tried on the caller's port that was not refused. Change: such a request gets 400 and runs nothing. The test speaks 17 malformed requests (smuggled lengths, codings, heads and bodies beyond the limits) and sees the next caller served; the one without an id failed before.

--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -55,6 +55,11 @@
         await discard_body(request)
         respond(node, request, HTTPStatus.NOT_FOUND)
         return
+    if not request_id_of(node, request):
+        # Its answer could not be told from that of another request.
+        await discard_body(request)
+        respond(node, request, HTTPStatus.BAD_REQUEST)
+        return
     pursuit = _begin(node, request, route)
     try:
         async with asyncio.timeout(max(0, pursuit.left_s)):
