--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 RUN := $(VENV)/bin/python
-SOURCES := carobmoor stand_ins bench demo tools tests proofs
+SOURCES := carobmoor stand_ins bench demo tools tests proofs soak
 
 .PHONY: demo test soak check bench format lock clean
 
@@ -24,12 +24,14 @@
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
 
-# Every scenario, then random ones; SEEDS and FIRST choose how many and which.
+# Every scenario, then random ones, then faults on nodes of the platform; SEEDS
+# and FIRST choose how many and which.
 SEEDS ?= 20
 FIRST ?= 1
 soak: $(VENV)/ready
 	$(RUN) -m proofs run proofs/scenarios/*.json
 	$(RUN) -m proofs mix --seeds $(SEEDS) --first $(FIRST)
+	$(RUN) -m soak --seeds $(SEEDS) --first $(FIRST)
 
 bench: $(VENV)/ready
 	$(RUN) -m bench
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,69 @@
+"""The command line: `python -m soak --seeds 50`; non-zero on a breach."""
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Final
+
+import fire
+
+from soak._faults import draw_faults
+from soak._run import Verdict, run_seed
+
+_SHOWN_EVENTS: Final = 6
+
+
+def soak(
+    seeds: int = 10,
+    first: int = 1,
+    span_s: float = 8,
+    nodes: int = 5,
+    logs: str = '',
+) -> None:
+    """Run seeds one after the other and tell what each broke.
+
+    Args:
+        seeds: How many seeds.
+        first: The first of them.
+        span_s: For how long faults begin, in seconds.
+        nodes: How many nodes, each a process.
+        logs: A folder in which the logs of a run that broke are kept.
+    """
+    broken = []
+    for seed in range(first, first + seeds):
+        verdict = asyncio.run(run_seed(seed, span_s, nodes))
+        _print(seed, verdict)
+        if verdict.breaches:
+            broken.append(seed)
+            _show(seed, span_s, nodes, verdict)
+            _keep(seed, verdict, logs)
+    sys.stdout.write(f'{seeds} seeds from {first}, broken: {broken}\n')
+    sys.exit(1 if broken else 0)
+
+
+def _print(seed: int, verdict: Verdict) -> None:
+    counts = verdict.outcomes.items()
+    told = ', '.join(f'{kind} {count}' for kind, count in counts)
+    sys.stdout.write(f'seed {seed}: {told}\n')
+    sys.stdout.flush()
+
+
+def _show(seed: int, span_s: float, nodes: int, verdict: Verdict) -> None:
+    for fault in draw_faults(seed, span_s, nodes):
+        sys.stdout.write(f'  {fault}\n')
+    for breach in verdict.breaches:
+        sys.stdout.write(f'  BROKEN {breach.rule}: {breach.detail}\n')
+        for event in breach.events[:_SHOWN_EVENTS]:
+            sys.stdout.write(f'    {event}\n')
+
+
+def _keep(seed: int, verdict: Verdict, folder: str) -> None:
+    if not folder:
+        return
+    Path(folder).mkdir(parents=True, exist_ok=True)
+    for ip, log in verdict.logs.items():
+        Path(folder, f'seed-{seed}-{ip}.log').write_text(log)
+
+
+if __name__ == '__main__':
+    fire.Fire(soak)
--- /dev/null
+++ b/soak/_server.py
@@ -0,0 +1,190 @@
+"""A backend server that announces itself to the node beside it."""
+
+import asyncio
+import itertools
+import json
+import time
+from typing import Any, Final
+
+import xxhash
+
+from carobmoor.history import Kind
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    IncomingRequest,
+    Listener,
+    OutgoingRequest,
+    ServingLimits,
+    header_of,
+    request_json,
+)
+
+REQUEST_ID: Final = b'x-carobmoor-request-id'
+SIGNATURE: Final = b'x-carobmoor-response-signature'
+_EXPECTED: Final = b'x-carobmoor-expected-instance'
+_NOT_RUN: Final = b'x-carobmoor-not-executed'
+_LOAD: Final = b'x-carobmoor-server-load'
+HEALTH_PATH: Final = '/health'
+_HEARTBEAT_S: Final = 0.3
+_ACK_TIMEOUT_S: Final = 1.0
+_MISDIRECTED: Final = 421
+_FULL: Final = 503
+_OK: Final = 200
+# A leaving server goes on for so long after the word of its node.
+_DRAIN_S: Final = 2.5
+_QUEUE: Final = 8
+_MS_PER_S: Final = 1000
+_numbers = itertools.count(1)
+
+
+class AnnouncingServer:
+    """One backend server: its present start, its slots and its record."""
+
+    def __init__(self, note: Any, address: Address, desk: Address) -> None:
+        """Serve at an address and announce at the node's desk; not yet."""
+        self.service = ''
+        self.slots = 6
+        self.work_ms = 30
+        self.slowdown = 1
+        self.instance_id = ''
+        self._note = note
+        self._address = address
+        self._desk = desk
+        self._state = 'ready'
+        self._born_ms = 0
+        self._sequence = 0
+        self._running = 0
+        self._pool = ConnectionPool()
+        self._listener: Listener | None = None
+        self._announcing: asyncio.Task[None] | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it serves."""
+        return self._listener is not None
+
+    async def start(self) -> None:
+        """Start as a new instance."""
+        self.instance_id = f'i-{next(_numbers)}'
+        self._born_ms = int(time.time() * _MS_PER_S)
+        self._sequence = 0
+        self._running = 0
+        self._state = 'ready'
+        self._listener = Listener(self._serve, ServingLimits)
+        await self._listener.listen(self._address)
+        self._announcing = asyncio.create_task(self._announce_always())
+
+    def crash(self) -> None:
+        """End at once; every connection is reset."""
+        if self._listener is None:
+            return
+        self._listener.stop_accepting()
+        for connection in tuple(self._listener.connections):
+            connection.abort()
+        self._listener = None
+        if self._announcing is not None:
+            self._announcing.cancel()
+
+    async def leave(self) -> None:
+        """Say that it leaves, serve on for a while, and end."""
+        self._state = 'draining'
+        leaving = self.instance_id
+        while self.instance_id == leaving and self.is_up:
+            if await self._announce('heartbeat'):
+                self._note(
+                    Kind.LEAVING,
+                    process=f'desk of {leaving}',
+                    subject=leaving,
+                )
+                await asyncio.sleep(_DRAIN_S)
+                await self._announce('deregister')
+                break
+            await asyncio.sleep(_HEARTBEAT_S)
+        if self.instance_id == leaving:
+            self.crash()
+
+    async def _announce_always(self) -> None:
+        while True:
+            if self._state == 'ready':
+                await self._announce('heartbeat')
+            await asyncio.sleep(_HEARTBEAT_S)
+
+    async def _announce(self, call: str) -> bool:
+        """Make a call to the node; tell whether it was acknowledged."""
+        self._sequence += 1
+        told = {
+            'address': str(self._address),
+            'born': self._born_ms,
+            'info': {
+                'service': self.service,
+                'version': 'v1',
+                'zone': '',
+                'slots': self.slots,
+            },
+            'status': {
+                'state': self._state,
+                'sequence': self._sequence,
+                'coldRemaining': '0ms',
+            },
+        }
+        target = f'/v1/instances/{self.instance_id}/{call}'
+        called = await request_json(
+            self._pool,
+            self._desk,
+            OutgoingRequest('POST', target, (), json.dumps(told).encode()),
+            _ACK_TIMEOUT_S,
+        )
+        return bool(called.is_ok() and called.unwrap().head.status == _OK)
+
+    async def _serve(self, request: IncomingRequest) -> None:
+        if request.target == HEALTH_PATH.encode():
+            request.respond(_OK, (self._load(),))
+            return
+        expected = header_of(request.headers, _EXPECTED)
+        if expected and expected != self.instance_id:
+            self._reject(request, _MISDIRECTED)
+        elif self._running >= self.slots + _QUEUE:
+            self._reject(request, _FULL)
+        else:
+            self._running += 1
+            try:
+                await self._run(request)
+            finally:
+                self._running -= 1
+
+    async def _run(self, request: IncomingRequest) -> None:
+        request_id = header_of(request.headers, REQUEST_ID)
+        instance = self.instance_id
+        self._note(Kind.STARTED, process=instance, request_id=request_id)
+        body = b''.join([chunk async for chunk in request.chunks()])
+        work_s = self.work_ms * self.slowdown / _MS_PER_S
+        await asyncio.wait((request.lost,), timeout=work_s)
+        if request.lost.done() or instance != self.instance_id:
+            return
+        answer = f'{request_id} {request.target.decode()}'.encode()
+        self._note(
+            Kind.ENDED,
+            process=instance,
+            request_id=request_id,
+            asked=xxhash.xxh64_hexdigest(body),
+            digest=xxhash.xxh64_hexdigest(answer),
+        )
+        headers = (
+            (REQUEST_ID, request_id.encode()),
+            (SIGNATURE, instance.encode()),
+            self._load(),
+        )
+        request.respond(_OK, headers, answer)
+
+    def _reject(self, request: IncomingRequest, status: int) -> None:
+        request_id = header_of(request.headers, REQUEST_ID).encode()
+        headers = ((REQUEST_ID, request_id), (_NOT_RUN, b'1'), self._load())
+        request.respond(status, headers)
+
+    def _load(self) -> tuple[bytes, bytes]:
+        running = min(self._running, self.slots)
+        waiting = max(0, self._running - self.slots)
+        pace_percent = 100 * self.slowdown
+        told = f'{running},{waiting},{self.slots},{pace_percent}'
+        return (_LOAD, told.encode())
--- /dev/null
+++ b/soak/_stage.py
@@ -0,0 +1,270 @@
+"""The processes, links and servers of one soak, and what all of them saw."""
+
+import asyncio
+import base64
+import itertools
+import json
+import os
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from carobmoor.history import Event, Kind
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    OutgoingRequest,
+    request_json,
+)
+from proofs._relay import Mode, Relay
+from soak._callers import HOST
+from soak._server import HEALTH_PATH, AnnouncingServer
+from stand_ins.deployment import Deployment
+
+SERVICE: Final = 'svc'
+_ZONES: Final = ('north-a', 'north-b', 'south-a')
+_NEWS_PORT: Final = 7620
+_NODE_PORT: Final = 8300
+_SERVER_PORT: Final = 8301
+_READY_PORT: Final = 8302
+_CALLER_PORT: Final = 8304
+_DESK_PORT: Final = 8306
+_STORE_PORT: Final = 8309
+# The server listens here; its node reaches it through a relay.
+_REAL_SERVER_PORT: Final = 8311
+_OK: Final = 200
+_TIMEOUT_S: Final = 1.0
+_RETRY_S: Final = 0.3
+# The loopback has a block of addresses for each run.
+_BLOCKS: Final = itertools.count(os.getpid())
+_BLOCK_SIZE: Final = 250
+_FIRST_BLOCK: Final = 20
+_BLOCK_COUNT: Final = 100
+
+
+class Place(NamedTuple):
+    """One node of the soak."""
+
+    number: int
+    ip: str
+    zone: str
+
+    def at(self, port: int) -> Address:
+        """Give one of its addresses."""
+        return Address(self.ip, port)
+
+
+class Stage(Deployment):
+    """Nodes as processes, with servers and relays in this one."""
+
+    def __init__(self, nodes: int) -> None:
+        """Make the places; nothing runs yet."""
+        super().__init__()
+        block = next(_BLOCKS)
+        first = _FIRST_BLOCK + block // _BLOCK_SIZE % _BLOCK_COUNT
+        net = f'127.{first}.{block % _BLOCK_SIZE}'
+        self.places = [
+            Place(number, f'{net}.{number + 1}', _ZONES[number % 3])
+            for number in range(nodes)
+        ]
+        self.events: list[Event] = []
+        self.servers: dict[Place, AnnouncingServer] = {}
+        self.relays: dict[tuple[str, Place], Relay] = {}
+        # The incarnation of each node's process.
+        self.starts: dict[Place, int] = dict.fromkeys(self.places, 0)
+        self.stopping: set[Place] = set()
+        self.version = 0
+        self._servers: list[asyncio.Server] = []
+
+    async def __aexit__(self, *raised: object) -> None:
+        """End servers, relays and processes."""
+        for backend in self.servers.values():
+            backend.crash()
+        for server in self._servers:
+            server.close()
+        for relay in self.relays.values():
+            relay.close()
+        await super().__aexit__(*raised)
+
+    def note(self, kind: Kind, process: str = 'soak', **fields: Any) -> None:
+        """Write down one event."""
+        self.events.append(Event(time.monotonic(), process, kind, **fields))
+
+    async def open(self) -> None:
+        """Start everything, publish routes, and wait until all are ready."""
+        for place in self.places:
+            await self._relay('store', place, _STORE_PORT, self.platform)
+            real = place.at(_REAL_SERVER_PORT)
+            await self._relay('server', place, _SERVER_PORT, real)
+            backend = AnnouncingServer(self.note, real, place.at(_DESK_PORT))
+            backend.service = SERVICE
+            self.servers[place] = backend
+            await backend.start()
+            await self.start(place)
+        await self.publish()
+        await self.until(self.all_ready, 'every node is ready')
+
+    async def start(self, place: Any, *_: Any) -> None:
+        """Start the node of a place."""
+        self.starts[place] += 1
+        path = self.folder / f'node-{place.number}.conf'
+        path.write_text(_settings(place))
+        log = self.log_of(place).open('ab')
+        self.processes[place.ip] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'carobmoor.platform',
+            env={**os.environ, 'CAROBMOOR_CONFIG': str(path)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def log_of(self, place: Place) -> Path:
+        """Give the file with the log lines of a node."""
+        return Path(self.folder / f'node-{place.number}.log')
+
+    def runs(self, place: Place) -> bool:
+        """Tell whether the node's process runs and was not told to stop."""
+        ended = self.processes[place.ip].returncode is not None
+        return not ended and place not in self.stopping
+
+    def send_signal(self, place: Place, number: signal.Signals) -> None:
+        """Signal the node of a place, by the pid of its process."""
+        self.processes[place.ip].send_signal(number)
+
+    async def end(self, place: Place) -> int:
+        """Wait for the end of a node; gives its exit code."""
+        return await self.processes[place.ip].wait()
+
+    async def publish(self) -> int:
+        """Write the next version of the routes, as the operator does.
+
+        Tries until the store has acknowledged it, and gives the version.
+        """
+        self.version += 1
+        version = self.version
+        while True:
+            known = await self._store('GET', '/v1/rows-get?table=op')
+            if known is not None:
+                rows = json.loads(known)['rows']
+                before = rows[0]['rowVersion'] if rows else 0
+                if await self._put(version, before):
+                    return version
+            await asyncio.sleep(_RETRY_S)
+
+    async def all_ready(self) -> bool:
+        """Tell whether every node says that it is ready."""
+        return all([await self.is_ready(place) for place in self.places])
+
+    async def is_ready(self, place: Place) -> bool:
+        """Ask a node, as the platform does."""
+        if not self.runs(place):
+            return False
+        asked = await request_json(
+            ConnectionPool(),
+            place.at(_READY_PORT),
+            OutgoingRequest('GET', '/v1/ready', ()),
+            _TIMEOUT_S,
+        )
+        return bool(asked.is_ok() and asked.unwrap().head.status == _OK)
+
+    def caller_address(self, place: Place) -> Address:
+        """Give the address of a node for callers."""
+        return place.at(_CALLER_PORT)
+
+    def turn(self, link: str, place: Place, mode: Mode, amount: int) -> None:
+        """Make a link fail, or mend it."""
+        self.relays[(link, place)].turn(mode, amount)
+
+    async def _relay(
+        self, link: str, place: Place, port: int, target: Address
+    ) -> None:
+        relay = Relay(target)
+        self.relays[(link, place)] = relay
+        self._servers.append(await relay.listen(place.at(port)))
+
+    async def _put(self, version: int, before: int) -> bool:
+        content = json.dumps(_document(version)).encode()
+        row = {'table': 'op', 'part': '', 'key': 'config'}
+        told = {
+            'expected': [{**row, 'rowVersion': before}],
+            'put': [{**row, 'value': base64.b64encode(content).decode()}],
+        }
+        body = json.dumps(told).encode()
+        return await self._store('POST', '/v1/rows-tx', body) is not None
+
+    async def _store(
+        self, method: str, target: str, body: bytes = b''
+    ) -> bytes | None:
+        request = OutgoingRequest(method, target, (), body)
+        asked = await request_json(
+            self.pool, self.platform, request, _TIMEOUT_S
+        )
+        if asked.is_err() or asked.unwrap().head.status != _OK:
+            return None
+        return asked.unwrap().body
+
+
+def probe_target(version: int) -> str:
+    """Name the path that routes have from a version on."""
+    return f'/v{version}/probe'
+
+
+def pick(rng: random.Random, places: list[Place]) -> Place:
+    """Pick a place."""
+    return rng.choice(places)
+
+
+def _settings(place: Place) -> str:
+    fields = {
+        'node': f'node-{place.number}',
+        'ip': place.ip,
+        'zone': place.zone,
+        'region': place.zone.partition('-')[0],
+        **{f'zones.{zone}': zone.partition('-')[0] for zone in _ZONES},
+        'service': SERVICE,
+        'app': place.at(_SERVER_PORT),
+        'listen.outbound': place.at(_CALLER_PORT),
+        'listen.inbound': place.at(_NODE_PORT),
+        'listen.readiness': place.at(_READY_PORT),
+        'listen.control': place.at(_DESK_PORT),
+        'internalPorts': f'{_NEWS_PORT},{_NEWS_PORT + 15}',
+        'platform.address': place.at(_STORE_PORT),
+        'heartbeat': '300ms',
+        'bounds': 'grace=6s,retryBudgetRatio=0.2,retryBudgetSlack=58',
+    }
+    return ''.join(f'{name}={content}\n' for name, content in fields.items())
+
+
+def _document(version: int) -> Any:
+    kinds = {
+        '/get/': 'idempotent',
+        '/post/': 'non_idempotent',
+        '/up/': 'upload',
+    }
+    probes = {f'/v{known}/': 'idempotent' for known in range(1, version + 1)}
+    rules = [
+        {
+            'match': {'prefix': prefix},
+            'action': {'service': SERVICE, 'timeout': '1s', 'attempts': 2},
+            'routeType': kind,
+            'targetLatency': '400ms',
+            'priority': 1,
+        }
+        for prefix, kind in (kinds | probes).items()
+    ]
+    return {
+        'version': f'r{version}',
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 1_000_000,
+            'headerTimeout': '3s',
+            'idleTimeout': '15s',
+        },
+        'listeners': [{'host': HOST, 'routeRules': rules}],
+        'clusters': [{'name': SERVICE, 'healthCheckPath': HEALTH_PATH}],
+    }
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,73 @@
+"""A short soak with fixed seeds, and the rules on made-up histories."""
+
+import asyncio
+from typing import Any
+
+from nose2.tools import params
+
+from carobmoor.history import Event, Kind
+from soak._faults import draw_faults
+from soak._judge import judge
+from soak._run import run_seed
+
+SPAN_S = 4
+NODES = 4
+# Seeds that show most kinds of faults in a short time.
+SHORT_SEEDS = (1, 4)
+
+
+@params(*SHORT_SEEDS)
+def test_promises_hold(seed):
+    """What callers and servers see breaks no rule."""
+    verdict = asyncio.run(run_seed(seed, SPAN_S, NODES))
+    told = [(breach.rule, breach.detail) for breach in verdict.breaches]
+    assert told == [], (told, verdict.logs)
+    assert verdict.outcomes['answered'] > 0
+
+
+def test_a_seed_draws_the_same():
+    """A run can be repeated from its seed."""
+    assert draw_faults(7, SPAN_S, NODES) == draw_faults(7, SPAN_S, NODES)
+    assert draw_faults(7, SPAN_S, NODES) != draw_faults(8, SPAN_S, NODES)
+
+
+def _event(at_s: float, kind: Kind, **fields: Any) -> Event:
+    return Event(at_s, fields.pop('process', 'caller'), kind, **fields)
+
+
+SENT = _event(1, Kind.SENT, request_id='r', subject='ip')
+STARTED = _event(2, Kind.STARTED, request_id='r', process='i-1')
+AGAIN = _event(3, Kind.STARTED, request_id='r', process='i-2')
+CUT = _event(
+    4,
+    Kind.UNKNOWN,
+    request_id='r',
+    subject='ip',
+    detail='connection closed by the peer',
+)
+REFUSED = _event(4, Kind.REFUSED, request_id='r')
+KILLED = _event(3, Kind.FAILED, subject='ip', detail='killed')
+OTHER_KILLED = _event(3, Kind.FAILED, subject='other', detail='killed')
+DENIED = _event(4, Kind.UNKNOWN, request_id='r', detail='status 404')
+LEFT = _event(0, Kind.LEAVING, process='desk of i-1', subject='i-1')
+LATE = _event(2.5, Kind.STARTED, request_id='r', process='i-1')
+ENDED = _event(5, Kind.STOPPED, process='pid 1', detail='code 1')
+ANSWERED = _event(4, Kind.ANSWERED, request_id='r', digest='other')
+
+
+@params(
+    ('well', [SENT, STARTED, DENIED._replace(detail='status 502')], set()),
+    ('cut', [SENT, STARTED, CUT], {'unanswered'}),
+    ('cut, not passed on', [SENT, CUT], set()),
+    ('cut by a kill', [SENT, STARTED, KILLED, CUT], set()),
+    ('another killed', [SENT, STARTED, OTHER_KILLED, CUT], {'unanswered'}),
+    ('ran and refused', [SENT, STARTED, REFUSED], {'not run'}),
+    ('ran twice', [SENT, STARTED, AGAIN, KILLED, CUT], {'at most once'}),
+    ('denied', [SENT, DENIED], {'denied'}),
+    ('after its leaving', [LEFT, SENT, LATE, KILLED, CUT], {'leaving'}),
+    ('own end', [ENDED], {'own end'}),
+    ('no own answer', [SENT, STARTED, ANSWERED], {'answers'}),
+)
+def test_rules(_, history, expected):
+    """Each rule tells what breaks it, and nothing else."""
+    assert {breach.rule for breach in judge(history)} == expected
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -4,9 +4,11 @@
 `{"delay_ms": 0, "is_down": false, "loses_answers": 0}` makes it slow, takes
 it down (503 for every call), or lets the next so many writes take effect
 without their answer; `loses_on` bounds that to writes of one `table/key`.
+`forgets_history` makes it answer 410 to whoever waits for changes.
 """
 
 import asyncio
+import contextlib
 import json
 import time
 from typing import Any, NamedTuple
@@ -28,6 +30,8 @@
         self.loses_on = ''
         # Rows are read as they were before their last write.
         self.is_stale = False
+        # The next wait for changes hears that its history is gone.
+        self.forgets_history = False
         self.reads = 0
         self.writes = 0
 
@@ -52,6 +56,14 @@
         self.objects: dict[str, bytes] = {}
         self.version = 0
         self.started_s = time.monotonic()
+        self.changed = asyncio.Event()
+
+    def note_change(self) -> None:
+        """Count a transaction and wake whoever waits for changes."""
+        self.version += 1
+        changed = self.changed
+        self.changed = asyncio.Event()
+        changed.set()
 
     def now(self) -> str:
         """Tell the steady clock."""
@@ -129,14 +141,37 @@
                 if entry['key'] in store.tables.get(entry['table'], {})
             ]
             return _json({'rows': rows}, 412)
-        store.version += 1
+        store.note_change()
         for entry in entries.get('put', ()):
             _put(store, entry)
         for entry in entries.get('remove', ()):
             store.tables.get(entry['table'], {}).pop(entry['key'], None)
         return _json({'rowVersion': store.version, 'now': store.now()})
 
+    async def feed(request: Request) -> Response:
+        query = {name: values[0] for name, values in request.query.items()}
+        if faults.forgets_history:
+            faults.forgets_history = False
+            return Response(410)
+        table, after = query['table'], int(query['after'])
+        until_s = time.monotonic() + int(query['waitMs']) / 1000
+        while not _changed(store, table, after):
+            if faults.is_down or time.monotonic() > until_s:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await store.changed.wait()
+        if faults.is_down:
+            return Response(503)
+        rows = [
+            _listed(store, Faults(), table, key)
+            for key in _changed(store, table, after)
+        ]
+        told = {'rows': rows, 'rowVersion': store.version, 'now': store.now()}
+        return _json(told)
+
     app.router.add_get('/v1/rows-get', get_rows)
+    app.router.add_get('/v1/rows-feed', feed)
     app.router.add_post('/v1/rows-tx', transact)
 
 
@@ -168,6 +203,11 @@
     app.router.add_get('/faults', get_faults)
 
 
+def _changed(store: Store, table: str, after: int) -> list[str]:
+    rows = store.tables.get(table, {})
+    return [key for key, row in sorted(rows.items()) if row.version > after]
+
+
 def _holds(store: Store, entry: Any) -> bool:
     row = store.tables.get(entry['table'], {}).get(entry['key'])
     version = 0 if row is None else row.version
