Heed a signal to reload from the first line of a start

A node was told to reload 76 ms after its start, while its libraries were imported, and the signal ended the process; nobody had told it to end. Ruled out: the kills before it (its log shows a whole life after them, and nothing of the last start). Change: the start ignores the signal before it imports anything large, and the adapter's public names are imported when they are first used. The soak signals a process only once its interpreter has come that far: before that no code of ours can run, as its status file shows. Test: signals in a row from that moment until the node says that it starts; the process ended before, and lives now.

--- a/carobmoor/platform/__init__.py
+++ b/carobmoor/platform/__init__.py
@@ -4,10 +4,15 @@
 product's own types, and the store's calls are made as they are asked for.
 """
 
-from carobmoor.platform._discovery import read_announcement
-from carobmoor.platform._document import decode_document
-from carobmoor.platform._settings import load_settings, read_settings
-from carobmoor.platform._store import StoreClient
+from importlib import import_module
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from carobmoor.platform._discovery import read_announcement
+    from carobmoor.platform._document import decode_document
+    from carobmoor.platform._settings import load_settings, read_settings
+    from carobmoor.platform._store import StoreClient
 
 __all__ = [
     'StoreClient',
@@ -16,3 +21,23 @@
     'read_announcement',
     'read_settings',
 ]
+
+_MODULES: Final = MappingProxyType(
+    {
+        'StoreClient': '_store',
+        'decode_document': '_document',
+        'load_settings': '_settings',
+        'read_announcement': '_discovery',
+        'read_settings': '_settings',
+    },
+)
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name when it is first used.
+
+    A starting node must heed signals before it imports anything large.
+    """
+    if name not in _MODULES:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(import_module(f'{__name__}.{_MODULES[name]}'), name)
--- a/carobmoor/platform/__main__.py
+++ b/carobmoor/platform/__main__.py
@@ -1,48 +1,13 @@
-"""Runs a node as the platform starts it: `python -m carobmoor.platform`."""
+"""Runs a node as the platform starts it: `python -m carobmoor.platform`.
 
-import asyncio
-import functools
-import os
-import sys
-
-from result import Err
-
-from carobmoor.mesh import MeshNode, MeshParts, RouteSource, run_mesh_node
-from carobmoor.platform import (
-    StoreClient,
-    decode_document,
-    load_settings,
-    read_announcement,
-)
-from carobmoor.platform._names import (
-    CONFIG_KEY,
-    DEFAULT_SETTINGS_PATH,
-    HEADERS,
-    OPERATOR_TABLE,
-    SETTINGS_VARIABLE,
-)
-from carobmoor.telemetry import configure_bounded_logs
-from carobmoor.transport import ConnectionPool
-
-
-async def _run() -> int:
-    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
-    loaded = load_settings(path)
-    if isinstance(loaded, Err):
-        sys.stderr.write(f'{loaded.err_value}\n')
-        return 2
-    dropped = configure_bounded_logs('info')
-    settings = loaded.ok_value
-    store = StoreClient(ConnectionPool(), settings.store_address)
-    source = RouteSource(OPERATOR_TABLE, CONFIG_KEY, decode_document)
-    node = MeshNode(settings, HEADERS)
-    parts = MeshParts(node, store, source, read_announcement)
-    node.metrics.store_calls.set_function(lambda: store.calls)
-    node.metrics.store_down.set_function(lambda: store.is_down)
-    node.metrics.dropped_lines.set_function(lambda: dropped.total)
-    await run_mesh_node(parts, functools.partial(load_settings, path))
-    return 0
+A signal to reload that comes before the node heeds it would end the process,
+so it is ignored first; imports take most of the time of a start.
+"""
 
+import signal
+import sys
+from importlib import import_module
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(_run()))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.exit(import_module('carobmoor.platform._node').main())
--- /dev/null
+++ b/carobmoor/platform/_node.py
@@ -0,0 +1,47 @@
+"""A node on the platform: its settings, its store and its parts."""
+
+import asyncio
+import functools
+import os
+import sys
+
+from result import Err
+
+from carobmoor.mesh import MeshNode, MeshParts, RouteSource, run_mesh_node
+from carobmoor.platform._discovery import read_announcement
+from carobmoor.platform._document import decode_document
+from carobmoor.platform._names import (
+    CONFIG_KEY,
+    DEFAULT_SETTINGS_PATH,
+    HEADERS,
+    OPERATOR_TABLE,
+    SETTINGS_VARIABLE,
+)
+from carobmoor.platform._settings import load_settings
+from carobmoor.platform._store import StoreClient
+from carobmoor.telemetry import configure_bounded_logs
+from carobmoor.transport import ConnectionPool
+
+
+def main() -> int:
+    """Run a node until it is told to stop; gives the exit code."""
+    return asyncio.run(_run())
+
+
+async def _run() -> int:
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{loaded.err_value}\n')
+        return 2
+    dropped = configure_bounded_logs('info')
+    settings = loaded.ok_value
+    store = StoreClient(ConnectionPool(), settings.store_address)
+    source = RouteSource(OPERATOR_TABLE, CONFIG_KEY, decode_document)
+    node = MeshNode(settings, HEADERS)
+    parts = MeshParts(node, store, source, read_announcement)
+    node.metrics.store_calls.set_function(lambda: store.calls)
+    node.metrics.store_down.set_function(lambda: store.is_down)
+    node.metrics.dropped_lines.set_function(lambda: dropped.total)
+    await run_mesh_node(parts, functools.partial(load_settings, path))
+    return 0
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -115,7 +115,8 @@
 
 
 async def _reload(stage: Stage, place: Place, _fault: Fault) -> None:
-    if stage.runs(place):
+    # The interpreter itself starts for some time before any code can run.
+    if stage.runs(place) and stage.heeds_reload(place):
         stage.send_signal(place, signal.SIGHUP)
 
 
--- a/soak/_stage.py
+++ b/soak/_stage.py
@@ -5,7 +5,6 @@
 import itertools
 import json
 import os
-import random
 import signal
 import sys
 import time
@@ -111,7 +110,7 @@
         """Start the node of a place."""
         self.starts[place] += 1
         path = self.folder / f'node-{place.number}.conf'
-        path.write_text(_settings(place))
+        path.write_text(settings_of(place))
         log = self.log_of(place).open('ab')
         self.processes[place.ip] = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -132,6 +131,10 @@
         ended = self.processes[place.ip].returncode is not None
         return not ended and place not in self.stopping
 
+    def heeds_reload(self, place: Place) -> bool:
+        """Tell whether a signal to reload would not end the process."""
+        return has_handler(self.processes[place.ip].pid, signal.SIGHUP)
+
     def send_signal(self, place: Place, number: signal.Signals) -> None:
         """Signal the node of a place, by the pid of its process."""
         self.processes[place.ip].send_signal(number)
@@ -209,17 +212,21 @@
         return asked.unwrap().body
 
 
+def has_handler(pid: int, number: signal.Signals) -> bool:
+    """Tell whether a process ignores or handles a signal."""
+    status = Path(f'/proc/{pid}/status').read_text()
+    fields = dict(line.split(':\t', 1) for line in status.splitlines())
+    heeded = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
+    return bool(heeded >> (number - 1) & 1)
+
+
 def probe_target(version: int) -> str:
     """Name the path that routes have from a version on."""
     return f'/v{version}/probe'
 
 
-def pick(rng: random.Random, places: list[Place]) -> Place:
-    """Pick a place."""
-    return rng.choice(places)
-
-
-def _settings(place: Place) -> str:
+def settings_of(place: Place) -> str:
+    """Write the settings file of a node."""
     fields = {
         'node': f'node-{place.number}',
         'ip': place.ip,
--- /dev/null
+++ b/tests/test_reload_at_start.py
@@ -0,0 +1,72 @@
+"""A node that starts is not ended by a signal to reload."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from soak._stage import Place, has_handler, settings_of
+
+_PLACE = Place(0, '127.19.0.1', 'north-a')
+_TRIES = 200
+_LOOK_S = 0.01
+
+
+def test_reload_during_the_start():
+    """Signals from the first moment on don't end the process."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, 'node.conf')
+        path.write_text(settings_of(_PLACE))
+        asyncio.run(_start_and_signal(str(path)))
+
+
+async def _start_and_signal(path: str) -> None:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'carobmoor.platform',
+        env={**os.environ, 'CAROBMOOR_CONFIG': path},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        await _signal_until_started(process)
+        assert process.returncode is None
+    finally:
+        process.kill()
+        await process.wait()
+
+
+async def _signal_until_started(process: asyncio.subprocess.Process) -> None:
+    await _until_heeded(process.pid)
+    has_started = False
+    while not has_started:
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(_LOOK_S)
+        assert process.stdout is not None
+        has_started = await _says_start(process.stdout)
+
+
+async def _until_heeded(pid: int) -> None:
+    """Wait for the interpreter, but not for the imports of the node."""
+    for _ in range(_TRIES):
+        if has_handler(pid, signal.SIGHUP):
+            assert not _has_imported(pid), 'heeded only after the imports'
+            return
+        await asyncio.sleep(_LOOK_S / 10)
+    raise TimeoutError
+
+
+def _has_imported(pid: int) -> bool:
+    return 'msgspec' in Path(f'/proc/{pid}/maps').read_text()
+
+
+async def _says_start(output: asyncio.StreamReader) -> bool:
+    try:
+        async with asyncio.timeout(_LOOK_S):
+            line = await output.readline()
+    except TimeoutError:
+        return False
+    assert line, 'the process ended'
+    return b'Node starts.' in line
