Learn whether a server's last slots are worth using

Cause: a fifth of the slots was always left alone, since servers with a knee slow down in the last ones. Change: an owner begins with every slot and compares requests that started in the last fifth with those that started just below, under the same pressure. It leaves the last slots alone for a minute where they take 1.35 times as long. The room that it has goes out with its load.

--- a/carobmoor/mesh/_backend.py
+++ b/carobmoor/mesh/_backend.py
@@ -4,6 +4,7 @@
 
 from carobmoor.mesh._best import BestOfLate
 from carobmoor.mesh._messages import Announcement, Standing
+from carobmoor.mesh._room import Room
 from carobmoor.routing import SuccessRate
 
 _USUAL_PACE_PERCENT: Final = 100
@@ -61,6 +62,7 @@
         self.pace_at_s = float(0)
         self.tells_pace = False
         self.success = SuccessRate(_SUCCESS_SMOOTHING)
+        self.room = Room(1)
 
     @property
     def instance_id(self) -> str:
--- a/carobmoor/mesh/_choose.py
+++ b/carobmoor/mesh/_choose.py
@@ -5,7 +5,6 @@
 from typing import Final, NamedTuple
 
 from carobmoor.mesh._peers import Peer
-from carobmoor.mesh._room import room_of
 from carobmoor.transport import Address
 
 _USUAL_PERCENT: Final = 100
@@ -59,8 +58,8 @@
 def predict_ms(peer: Peer, wanted: Wanted, now_s: float) -> float:
     """Predict how long a request takes there, and what its way is worth."""
     base_ms = wanted.work_ms * _base(peer)
-    waiting = max(0, _busy(peer) + 1 - room_of(peer.record.slots))
-    queue_ms = base_ms * waiting / room_of(peer.record.slots)
+    waiting = max(0, _busy(peer) + 1 - peer.room)
+    queue_ms = base_ms * waiting / peer.room
     success = max(_LEAST_SUCCESS, _success(peer, now_s))
     failing_ms = (1 - success) / success * _FAILURE_MS
     way_ms = (
--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -63,6 +63,8 @@
     success_permille: int
     # Whether its last call to the store was answered.
     has_store: bool = True
+    # How many requests its server gets at once; 0 if unknown.
+    room: int = 0
 
 
 Datagram = Hello | Load
--- a/carobmoor/mesh/_hedge.py
+++ b/carobmoor/mesh/_hedge.py
@@ -11,7 +11,6 @@
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._pursuit import Pursuit
 from carobmoor.mesh._relay import drop
-from carobmoor.mesh._room import room_of
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Failure
 from carobmoor.telemetry import logger_for
@@ -93,7 +92,7 @@
         return None
     load = second.load
     busy = second.in_flight if load is None else load.running + load.waiting
-    if busy >= room_of(second.record.slots):
+    if busy >= second.room:
         return None
     nodes = sum(1 for _ in node.peers)
     if not node.budget.take(pursuit.service, nodes, now_s):
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -44,6 +44,8 @@
     started_s: float
     # At the start, which decides how long the server works.
     pace_percent: int
+    # How many ran then, with this one.
+    running: int
 
 
 class OwnAnswer:
@@ -86,12 +88,19 @@
             pace_percent=self._turn.pace_percent,
         )
         if is_good:
-            usual_s = took_s * _USUAL_PERCENT / self._turn.pace_percent
-            self._node.times.work.note(self._turn.route, usual_s * _MS_PER_S)
+            self._learn(took_s)
         self._node.gate.leave(self._turn.grant, took_s, is_good)
         self._node.quarantine.leave(self._turn.permit)
         self._node.backend.success.note(is_good, now_s)
 
+    def _learn(self, took_s: float) -> None:
+        turn = self._turn
+        at_usual_pace_s = took_s * _USUAL_PERCENT / turn.pace_percent
+        work = self._node.times.work
+        slowness = at_usual_pace_s * _MS_PER_S / work.usual_ms(turn.route)
+        work.note(turn.route, at_usual_pace_s * _MS_PER_S)
+        self._node.note_run(turn.running, slowness)
+
 
 async def run_here(
     node: MeshNode,
@@ -154,6 +163,7 @@
         started_s - arrived_s,
         started_s,
         node.backend.pace_percent,
+        node.gate.state.in_flight_total,
     )
     return await _run(node, order, turn, deadline_s)
 
--- a/carobmoor/mesh/_peers.py
+++ b/carobmoor/mesh/_peers.py
@@ -46,6 +46,12 @@
         """Whether a backend server beside it takes requests."""
         return bool(self.record.instance_id) and not self.record.is_leaving
 
+    @property
+    def room(self) -> int:
+        """How many requests its server gets at once."""
+        told = 0 if self.load is None else self.load.room
+        return max(1, told or self.record.slots)
+
     def note_load(self, load: Load, now_s: float) -> None:
         """Take in the load that it told."""
         self.load = load
--- a/carobmoor/mesh/_room.py
+++ b/carobmoor/mesh/_room.py
@@ -1,12 +1,86 @@
-"""How much of a backend server is used at once."""
+"""How much of a backend server is used at once, learned from its times.
+
+Some servers slow down when they are nearly full, so that the last slots cost
+more than they bring; others use every slot alike. Requests that started in
+the last slots are compared with those that started just below them.
+"""
 
 from typing import Final
 
-# Servers slow down when they are nearly full, which costs more throughput
-# than the last slots bring.
-_USED_SHARE: Final = 0.8
+# From this share of its slots on, a server may slow down.
+_KNEE_SHARE: Final = 0.8
+# Starts from this share on are under nearly the same load.
+_BELOW_SHARE: Final = 0.5
+# Of each kind, before the two are compared; the times of one kind spread by
+# half their mean, so that so many tell a third apart.
+_LEAST_STARTS: Final = 24
+# Older starts count half from then on.
+_MOST_STARTS: Final = 96
+# The last slots are left alone where they make a request so much longer.
+_COSTLY_RATIO: Final = 1.35
+# Starts below the last slots count only so near to one within them, when the
+# load on whatever the server calls is alike.
+_NEAR_S: Final = 2
+# After so long the last slots are tried again.
+_RETRY_S: Final = 60
+
+
+class Starts:
+    """The mean time of requests that started under one load."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.count = float(0)
+        self._sum = float(0)
+
+    @property
+    def mean(self) -> float:
+        """The mean; there must be some."""
+        return self._sum / self.count
+
+    def note(self, slowness: float) -> None:
+        """Take in the time of one request."""
+        if self.count >= _MOST_STARTS:
+            self.count /= 2
+            self._sum /= 2
+        self.count += 1
+        self._sum += slowness
+
+
+class Room:
+    """How many requests one start of a backend server gets at once."""
+
+    def __init__(self, slots: int) -> None:
+        """Begin with every slot."""
+        self.slots = slots
+        self._below = Starts()
+        self._above = Starts()
+        self._narrow_until_s = float(0)
+        self._near_until_s = float(0)
+
+    def size(self, now_s: float) -> int:
+        """Give how many requests it gets at once."""
+        if now_s < self._narrow_until_s:
+            return max(1, int(self.slots * _KNEE_SHARE))
+        return self.slots
 
+    def note(self, running: int, slowness: float, now_s: float) -> None:
+        """Take in a request that was answered well.
 
-def room_of(slots: int) -> int:
-    """Give how many requests a server of so many slots gets at once."""
-    return max(1, int(slots * _USED_SHARE))
+        `running` is how many ran with it at its start, and `slowness` its
+        time as a multiple of what is usual for its kind.
+        """
+        share = running / self.slots
+        if share > _KNEE_SHARE:
+            self._above.note(slowness)
+            self._near_until_s = now_s + _NEAR_S
+        elif share > _BELOW_SHARE and now_s < self._near_until_s:
+            self._below.note(slowness)
+        else:
+            return
+        if min(self._above.count, self._below.count) < _LEAST_STARTS:
+            return
+        if self._above.mean > _COSTLY_RATIO * self._below.mean:
+            self._narrow_until_s = now_s + _RETRY_S
+            self._above = Starts()
+            self._below = Starts()
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -14,7 +14,7 @@
 from carobmoor.mesh._messages import HeaderNames, MeshSettings
 from carobmoor.mesh._pace import PaceWatch, Question
 from carobmoor.mesh._peers import Peers
-from carobmoor.mesh._room import room_of
+from carobmoor.mesh._room import Room
 from carobmoor.mesh._usual import NodeTimes, UsualTimes
 from carobmoor.quarantine import (
     MARKS_TARGET,
@@ -150,6 +150,7 @@
             int(backend.slow_spell_s * _MS_PER_S),
             int(backend.success.at(now_s) * _PERMILLE),
             self.store_sight.has_store,
+            self.backend.room.size(now_s),
         )
 
     def limits(self) -> ServingLimits:
@@ -195,10 +196,19 @@
         self.document = document
         self.renew_admission()
 
+    def note_run(self, running: int, slowness: float) -> None:
+        """Learn from a request that the backend server answered well."""
+        now_s = time.monotonic()
+        self.backend.room.note(running, slowness, now_s)
+        if self.backend.room.size(now_s) != self.gate.state.policy.slots:
+            self.renew_admission()
+
     def renew_admission(self) -> None:
         """Bring slots and ranks up to date with what is known."""
         last = self.backend.last
-        slots = 1 if last is None else room_of(last.slots)
+        if last is not None and last.slots != self.backend.room.slots:
+            self.backend.room = Room(last.slots)
+        slots = self.backend.room.size(time.monotonic())
         targets = {} if self.table is None else _targets_ms(self.table)
         share = 0.5 / max(1, len(targets))
         ranks = [
