Greet one node of other regions a second, in turn

Cause: every pair of nodes in two regions greeted each other each 5 s. Change: a node greets one far node a second, the one with the oldest contact. A change of its own still goes to all of them at once, without an answer. Test: 2, 20 and 200 far nodes get 31 greetings in 30 s, in turn; before, the count grew with them.

--- a/carobmoor/mesh/_news.py
+++ b/carobmoor/mesh/_news.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 from carobmoor.mesh._datagrams import (
-    Datagram,
     Hello,
     Load,
     NodeRecord,
@@ -25,8 +24,9 @@
 _SILENCE_S: Final = 0.8
 # Each node tells its load at least so often.
 _PULSE_S: Final = 0.25
-# Nodes in other regions, to which each byte is dear, are greeted this rarely.
-_FAR_PULSE_S: Final = 5
+# Bytes to other regions are dear: one node of them is greeted each time, in
+# turn, so that what a node sends there doesn't grow with the fleet.
+_FAR_PULSE_S: Final = 1
 _TICK_S: Final = 0.05
 _FIRST_GREETING_S: Final = 0.2
 _MOST_GREETING_S: Final = 2
@@ -47,6 +47,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._told_at_s = float(0)
         self._told_version = 0
+        self._greeted_far_at_s = float(0)
 
     async def open(self) -> None:
         """Open the socket."""
@@ -78,13 +79,21 @@
         """Greet those not heard of, and pulse, until cancelled."""
         while True:
             await asyncio.sleep(_TICK_S)
-            now_s = time.monotonic()
-            is_newer = self._node.version != self._told_version
-            if is_newer or now_s - self._told_at_s >= _PULSE_S:
-                self.tell_load()
-            for peer in self._node.peers:
-                if not peer.is_self:
-                    self._tend(peer, now_s)
+            self.tick(time.monotonic())
+
+    def tick(self, now_s: float) -> None:
+        """Tell the load and greet, as far as it is time for it."""
+        is_newer = self._node.version != self._told_version
+        if is_newer or now_s - self._told_at_s >= _PULSE_S:
+            self.tell_load()
+        for peer in self._node.peers:
+            if not peer.is_self and peer.distance != FAR:
+                self._tend(peer, now_s)
+        if now_s - self._greeted_far_at_s >= _FAR_PULSE_S:
+            self._greeted_far_at_s = now_s
+            far = _next_far(self._node.peers)
+            if far is not None:
+                self.greet(far)
 
     def learn(self, record: NodeRecord) -> Peer | None:
         """Take in a record from the store or from another node."""
@@ -110,7 +119,7 @@
         sent_us = int(peer.greeted_at_s * _US_PER_S)
         node = self._node
         hello = Hello(node.record(), node.version, wants_reply, sent_us)
-        self._send(peer, hello)
+        self._write(peer, encode_datagram(hello))
 
     def tell_change(self) -> None:
         """Tell every node at once that this one or its server changed."""
@@ -121,7 +130,7 @@
         for peer in self._node.peers:
             if not peer.is_self:
                 peer.greetings = 0
-                self.greet(peer)
+                self.greet(peer, wants_reply=peer.distance != FAR)
 
     def tell_load(self) -> None:
         """Tell the nodes of the region the load of the own server."""
@@ -137,13 +146,9 @@
                 self._write(peer, content)
 
     def _tend(self, peer: Peer, now_s: float) -> None:
-        silent_s = now_s - peer.heard_at_s
-        is_far = peer.distance == FAR
-        patience_s = _FAR_PULSE_S if is_far else _SILENCE_S
-        if silent_s < patience_s:
+        if now_s - peer.heard_at_s < _SILENCE_S:
             return
-        if not is_far:
-            peer.down_until_s = now_s + _SILENCE_S
+        peer.down_until_s = now_s + _SILENCE_S
         wait_s = min(
             _MOST_GREETING_S,
             _FIRST_GREETING_S * 2 ** min(peer.greetings, 10),
@@ -167,7 +172,7 @@
             reply = Hello(
                 node.record(), node.version, False, sent_us, hello.sent_us
             )
-            self._send(peer, reply)
+            self._write(peer, encode_datagram(reply))
 
     def _hear_load(self, load: Load, ip: str) -> None:
         peer = self._node.peers.at(ip)
@@ -190,10 +195,16 @@
         if version > self._node.version:
             self._on_version(version, peer)
 
-    def _send(self, peer: Peer, datagram: Datagram) -> None:
-        self._write(peer, encode_datagram(datagram))
-
     def _write(self, peer: Peer, content: bytes) -> None:
         if self._transport is not None:
             port = self._node.settings.news_port
             self._transport.sendto(content, (peer.record.ip, port))
+
+
+def _next_far(peers: Iterable[Peer]) -> Peer | None:
+    """Give the far node of which nothing was heard or asked longest."""
+    return min(
+        (peer for peer in peers if peer.distance == FAR),
+        key=lambda peer: max(peer.heard_at_s, peer.greeted_at_s),
+        default=None,
+    )
--- /dev/null
+++ b/carobmoor/mesh/tests/test_far_news.py
@@ -0,0 +1,63 @@
+"""What a node tells other regions doesn't grow with the fleet."""
+
+from collections import Counter
+from typing import Any
+
+from nose2.tools import params
+
+from carobmoor.mesh._datagrams import NodeRecord
+from carobmoor.mesh._news import NewsDesk
+from carobmoor.mesh._peers import Peer
+from carobmoor.mesh.tests.fixtures import Mesh
+
+SECONDS = 30
+TICKS_A_S = 20
+START_S = 1000
+
+
+class Sent:
+    """Takes the place of the socket and counts datagrams by receiver."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.by_ip: Counter[str] = Counter()
+
+    def sendto(self, _content: bytes, receiver: Any) -> None:
+        """Count one datagram."""
+        self.by_ip[receiver[0]] += 1
+
+
+def desk_with(far_nodes: int) -> tuple[NewsDesk, Sent]:
+    """Make a node that knows so many nodes of another region."""
+    node = Mesh().make(1).node
+    for place in range(far_nodes):
+        record = NodeRecord(f'127.0.{place}.9', 1, 1, 0, 'c', 'one', 'i', 4)
+        node.peers.learn(record, 'south')
+    desk = NewsDesk(node, _ignore)
+    sent = Sent()
+    desk._transport = sent  # type: ignore[assignment]
+    return desk, sent
+
+
+def _ignore(_version: int, _peer: Peer) -> None:
+    """Take no notice of a version."""
+
+
+@params(2, 20, 200)
+def test_far_nodes_are_greeted_in_turn(far_nodes):
+    """One greeting a second, whoever answers, and nobody is left out."""
+    desk, sent = desk_with(far_nodes)
+    for tick in range(SECONDS * TICKS_A_S):
+        desk.tick(START_S + tick / TICKS_A_S)
+    assert sent.by_ip.total() <= SECONDS + 1
+    assert len(sent.by_ip) == min(far_nodes, sent.by_ip.total())
+    counts = sent.by_ip.values()
+    assert max(counts) - min(counts) <= 1
+
+
+def test_change_is_told_once_to_far_nodes():
+    """A change goes out to all, and asks the far ones for nothing."""
+    desk, sent = desk_with(20)
+    desk.tell_change()
+    assert set(sent.by_ip.values()) == {1}
+    assert all(peer.greetings == 0 for peer in desk._node.peers)
