Judge in the queue by each request's own target

Cause: on the platform many routes share a priority, and the queue took the shortest target among them (that of calls between servers, 120 ms) for all. Whatever waited 60 ms counted as late, and late requests go by deadline: under pressure each was started when it was nearly too late. Change: a request brings what is left of its route's target along the hop, and the queue counts from that. Test: the order of two requests by their own targets; it went by the rank's before.

--- a/carobmoor/admission/_messages.py
+++ b/carobmoor/admission/_messages.py
@@ -52,6 +52,9 @@
     depth: int
     # On the monotonic clock of this process.
     deadline_s: float
+    # Until then an answer is good, on the same clock. `None` means the target
+    # of the rank, counted from the arrival.
+    target_at_s: float | None = None
 
 
 class Verdict(enum.Enum):
--- a/carobmoor/admission/_queue.py
+++ b/carobmoor/admission/_queue.py
@@ -210,6 +210,8 @@
 ) -> Entry:
     """Work out until when an arrival can meet its target and deadline."""
     whole_s = arrival.deadline_s - now_s
+    if arrival.target_at_s is not None:
+        target_s = max(0, arrival.target_at_s - now_s)
     wanted_s = min(target_s, whole_s)
     late_s = min(
         _LATE_SERVICE_TIMES * service_time_s,
--- a/carobmoor/admission/tests/fixtures.py
+++ b/carobmoor/admission/tests/fixtures.py
@@ -24,9 +24,16 @@
     return AdmissionPolicy(slots, queue_limit, RANKS, AdmissionTuning(**tuning))
 
 
-def arrival(rank='booking', caller='a', depth=0, deadline_s=60.0, name='x'):
+def arrival(
+    rank='booking',
+    caller='a',
+    depth=0,
+    deadline_s=60.0,
+    name='x',
+    target_at_s=None,
+):
     """Make an arrival."""
-    return Arrival(name, rank, caller, depth, deadline_s)
+    return Arrival(name, rank, caller, depth, deadline_s, target_at_s)
 
 
 class Desk:
--- a/carobmoor/admission/tests/test_decide.py
+++ b/carobmoor/admission/tests/test_decide.py
@@ -66,6 +66,24 @@
     assert names == ['new', 'old']
 
 
+@params(
+    # The rank's target is 0.25 s; both come at 0.1 s.
+    (0.15, 5.0, ['far', 'near']),
+    (0.4, 5.0, ['near', 'far']),
+    (0.05, 0.02, ['far', 'near']),
+)
+def test_own_target_goes_before_that_of_the_rank(near_s, far_s, expected):
+    """A request is late by its own target, and the nearest goes first."""
+    desk = full_desk()
+    desk.now_s = 0.1
+    desk.offer(arrival(name='near', deadline_s=2, target_at_s=near_s))
+    desk.offer(arrival(name='far', deadline_s=1, target_at_s=far_s))
+    desk.now_s = 0.16
+    desk.start()
+    names = [desk.next_of(desk.running[0])[0].request_id for _ in range(2)]
+    assert names == expected
+
+
 def test_hopeless_is_dropped_early():
     """A request is refused before its deadline once that can't be met."""
     desk = full_desk()
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -111,7 +111,8 @@
     peer: Peer,
 ) -> Result[Running, Failure]:
     """Send the request to one owner."""
-    left_ms = pursuit.left_s * _MS_PER_S - peer.round_trip_ms / 2
+    way_ms = peer.round_trip_ms / 2
+    left_ms = pursuit.left_s * _MS_PER_S - way_ms
     if left_ms <= 0:
         return Err(NotRun(Code.DEADLINE_LAPSED, 'choice', str(peer.address)))
     hop = Hop(
@@ -119,6 +120,7 @@
         pursuit.route.kind,
         pursuit.route.priority,
         left_ms,
+        pursuit.target_left_s * _MS_PER_S - way_ms,
         pursuit.route.name,
         _may_bounce(node, pursuit, peer),
         xxhash.xxh64_hexdigest(pursuit.body.first),
--- a/carobmoor/mesh/_hop.py
+++ b/carobmoor/mesh/_hop.py
@@ -17,6 +17,8 @@
     priority: int
     # What is left until the caller, or its route, gives up.
     left_ms: float
+    # What is left of the route's target latency; below 0 once it has passed.
+    target_left_ms: float
     # By which owners keep how long requests take.
     route: str
     # Whether it may be handed back while the server is slow.
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -48,6 +48,14 @@
     running: int
 
 
+class Due(NamedTuple):
+    """Until when an answer is of use, on the monotonic clock."""
+
+    deadline_s: float
+    # Until then it is a good answer.
+    target_at_s: float
+
+
 class OwnAnswer:
     """The answer of the backend server; its slot is held to its end."""
 
@@ -113,15 +121,17 @@
         return Err(refusal)
     if order.hop.may_bounce and await node.pace.is_slow():
         return Err(_not_run(node, Code.SLOW))
+    now_s = time.monotonic()
     left_s = order.hop.left_ms / _MS_PER_S
-    deadline_s = time.monotonic() + left_s
+    target_left_s = order.hop.target_left_ms / _MS_PER_S
+    due = Due(now_s + left_s, now_s + target_left_s)
     permitted = await node.quarantine.enter(_suspect_of(node, order), left_s)
     if isinstance(permitted, Err):
         return permitted
     permit = permitted.ok_value
     answer: OwnAnswer | None = None
     try:
-        ran = await _admit(node, order, permit, deadline_s)
+        ran = await _admit(node, order, permit, due)
         answer = ran.ok()
     finally:
         if answer is None:
@@ -142,10 +152,10 @@
     node: MeshNode,
     order: Order,
     permit: Permit,
-    deadline_s: float,
+    due: Due,
 ) -> Result[OwnAnswer, Failure]:
     arrived_s = time.monotonic()
-    entered = await _enter_in_time(node, order, deadline_s)
+    entered = await _enter_in_time(node, order, due)
     if isinstance(entered, Err):
         return entered
     grant = entered.ok_value
@@ -165,23 +175,23 @@
         node.backend.pace_percent,
         node.gate.state.in_flight_total,
     )
-    return await _run(node, order, turn, deadline_s)
+    return await _run(node, order, turn, due.deadline_s)
 
 
 async def _enter_in_time(
     node: MeshNode,
     order: Order,
-    deadline_s: float,
+    due: Due,
 ) -> Result[Grant, Failure]:
     """Wait for the usual pace and a slot, until both are there at once."""
     work_s = node.times.work.usual_ms(order.hop.route) / _MS_PER_S
-    patience = Patience(deadline_s - work_s, work_s)
+    patience = Patience(due.deadline_s - work_s, work_s)
     while True:
         try:
             await until_lost(order.lost, node.pace.wait_usual(patience))
         except CallerLost:
             return Err(_not_run(node, Code.CALLER_GONE))
-        entered = await _enter(node, order, deadline_s)
+        entered = await _enter(node, order, due)
         if isinstance(entered, Err):
             return entered
         if not await _has_slowed(node, entered.ok_value, patience):
@@ -233,14 +243,15 @@
 async def _enter(
     node: MeshNode,
     order: Order,
-    deadline_s: float,
+    due: Due,
 ) -> Result[Grant, Failure]:
     arrival = Arrival(
         order.request_id.decode('latin-1'),
         rank_name(order.hop.priority),
         '',
         0,
-        deadline_s,
+        due.deadline_s,
+        due.target_at_s,
     )
     asked = node.gate.ask(arrival)
     if isinstance(asked, Err):
--- a/carobmoor/mesh/_pursuit.py
+++ b/carobmoor/mesh/_pursuit.py
@@ -11,6 +11,7 @@
 
 # Bodies up to this size are read whole, so that they can be sent again.
 _KEPT_BODY_BYTES: Final = 65_536
+_MS_PER_S: Final = 1000
 
 
 class Pursuit:
@@ -29,6 +30,7 @@
         self.service = service
         self.deadline_s = deadline_s
         self.started_s = time.monotonic()
+        self.target_at_s = self.started_s + route.target_latency_ms / _MS_PER_S
         # The version of the routes that decided.
         self.version = 0
         # What decided the last choice, for the log.
@@ -48,6 +50,11 @@
         """The time left for an answer."""
         return self.deadline_s - time.monotonic()
 
+    @property
+    def target_left_s(self) -> float:
+        """The time left for a good answer; below 0 once it has passed."""
+        return self.target_at_s - time.monotonic()
+
     @property
     def may_repeat(self) -> bool:
         """Whether another send is allowed after one that may have run."""
