--- a/carobmoor/mesh/_packed.py
+++ b/carobmoor/mesh/_packed.py
@@ -10,7 +10,7 @@
 
 # The fastest level; documents are repetitive and shrink to a tenth with it.
 _LEVEL: Final = 1
-# A document is one row of the store, and no row is larger.
+# What one call to the store holds at most.
 _MOST_BYTES: Final = 1_000_000
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -29,7 +29,6 @@
 _MOST_ANSWER_BYTES: Final = 100_000
 _PAUSE_S: Final = 0.04
 _OK: Final = 200
-_NOT_FOUND: Final = 404
 # Statuses that promise that the request did not run.
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 _FRESH_SHARE: Final = 0.3
