Hold it against a backend server that it doesn't answer

Between seconds 17 and 28, 77 requests ended with 504 at their deadline, 50 of 110 attempts at one owner whose server took requests and never answered. Neither the owner nor the sender counted them as failures: the owner stops waiting at the deadline, or when the sender leaves just before it, and both were taken for no fault of the server. So it was chosen again each time. Ruled out: load (the other servers of the service answered in 165 ms), pace (usual in the logs).

--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -29,6 +29,8 @@
 _MS_PER_S: Final = 1000
 _USUAL_PERCENT: Final = 100
 _FIRST_SERVER_ERROR: Final = 500
+# A server that has not answered after so many expected times seems hung.
+_SILENT_TIMES: Final = 3
 _log = logger_for('owner')
 # How long sockets are read before a request that met a pause goes on.
 _SETTLE_S: Final = 0.02
@@ -273,6 +275,7 @@
 ) -> Result[OwnAnswer, Failure]:
     node.quarantine.crashes.start(turn.permit)
     sending = send_to_backend(node, order, deadline_s - turn.started_s)
+    sent: Result[Answer, CallFailure] | None = None
     answer: Answer | None = None
     try:
         if order.hop.kind is Kind.IDEMPOTENT:
@@ -283,13 +286,31 @@
         answer = judged.ok()
     finally:
         if answer is None:
-            took_s = time.monotonic() - turn.started_s
-            node.gate.leave(turn.grant, took_s, False)
+            now_s = time.monotonic()
+            node.gate.leave(turn.grant, now_s - turn.started_s, False)
+            if sent is None or now_s >= deadline_s:
+                _note_silence(node, turn, now_s)
     if isinstance(sent, Err):
         await _note_lost(node, turn, sent.err_value, deadline_s)
     return judged.map(lambda good: OwnAnswer(node, good, turn))
 
 
+def _note_silence(node: MeshNode, turn: Turn, now_s: float) -> None:
+    """Hold it against the server that a request had no answer for long."""
+    took_s = now_s - turn.started_s
+    usual_ms = node.times.work.usual_ms(turn.route)
+    expected_s = usual_ms / _MS_PER_S * turn.pace_percent / _USUAL_PERCENT
+    if took_s < _SILENT_TIMES * expected_s:
+        return
+    node.backend.success.note(False, now_s)
+    _log.info(
+        'No answer of the backend server.',
+        request_id=turn.grant.arrival.request_id,
+        took_ms=int(took_s * _MS_PER_S),
+        expected_ms=int(expected_s * _MS_PER_S),
+    )
+
+
 async def _note_lost(
     node: MeshNode,
     turn: Turn,
