Print the way of one request from the logs of many nodes

carobmoor timeline ID FILE... reads the JSON lines that nodes write (also as a collector passes them on), and tells those of the request and the changes at the owners that it tried, in order of time. Ids that look like numbers are taken as they are written, here and in explain: 12e5 was not found before. Nothing that a node runs has changed.

--- a/carobmoor/cli/_main.py
+++ b/carobmoor/cli/_main.py
@@ -14,6 +14,7 @@
 from carobmoor.cli._output import exit_with_faults, fail, print_json
 from carobmoor.cli._quarantine import QuarantineCommands
 from carobmoor.cli._report import ReportCommands, explain
+from carobmoor.cli._timeline import timeline
 from carobmoor.configuration import (
     document_schema,
     read_commented,
@@ -105,6 +106,7 @@
                 'config': ConfigCommands,
                 'report': ReportCommands,
                 'explain': explain,
+                'timeline': timeline,
                 'quarantine': QuarantineCommands,
                 'status': status,
                 'drain': drain,
--- a/carobmoor/cli/_report.py
+++ b/carobmoor/cli/_report.py
@@ -10,6 +10,7 @@
 from urllib.parse import quote
 
 import msgspec
+from fire.decorators import SetParseFn
 
 from carobmoor.burn import (
     Snapshot,
@@ -94,6 +95,8 @@
     ]
 
 
+# An id such as 12e5 is no number.
+@SetParseFn(str)
 def explain(request_id: str, node: str) -> None:
     """Print the way that one request took, from the nodes that it passed.
 
@@ -101,7 +104,7 @@
         request_id: The id, as answers and refusals carry it.
         node: Any node as IP:PORT; the nodes that it knows are asked.
     """
-    target = f'/_carobmoor/requests/{quote(str(request_id), safe="")}'
+    target = f'/_carobmoor/requests/{quote(request_id, safe="")}'
     request = OutgoingRequest('GET', target, token_headers())
     answers = asyncio.run(ask_every_node(node, request))
     records = [
