--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -174,7 +174,7 @@
 
 async def _start_again(stage: Stage, place: Place) -> None:
     if stage.processes[place.ip].returncode is not None:
-        await stage.start(place)
+        await stage.start_place(place)
     _note(stage, Kind.MENDED, place, 'started')
 
 
--- a/soak/_stage.py
+++ b/soak/_stage.py
@@ -102,11 +102,11 @@
             backend.service = SERVICE
             self.servers[place] = backend
             await backend.start()
-            await self.start(place)
+            await self.start_place(place)
         await self.publish()
         await self.until(self.all_ready, 'every node is ready')
 
-    async def start(self, place: Any, *_: Any) -> None:
+    async def start_place(self, place: Place) -> None:
         """Start the node of a place."""
         self.starts[place] += 1
         path = self.folder / f'node-{place.number}.conf'
@@ -214,7 +214,11 @@
 
 def has_handler(pid: int, number: signal.Signals) -> bool:
     """Tell whether a process ignores or handles a signal."""
-    status = Path(f'/proc/{pid}/status').read_text()
+    try:
+        status = Path(f'/proc/{pid}/status').read_text()
+    except FileNotFoundError:
+        # It has ended meanwhile.
+        return False
     fields = dict(line.split(':\t', 1) for line in status.splitlines())
     heeded = int(fields['SigIgn'], 16) | int(fields['SigCgt'], 16)
     return bool(heeded >> (number - 1) & 1)
