Keep the ports of tests out of the range of outgoing connections

The nodes of the mesh tests took ports from the range that the system gives to outgoing connections, probed and closed them, and an outgoing connection could take one before the node listened. The stand-ins had met the same fault earlier and had a finder of their own.

Change: one finder, below that range, for any address; it gives no port twice. Test: tests/test_ports.py, which failed on the mesh's finder before.

--- a/carobmoor/mesh/tests/fixtures.py
+++ b/carobmoor/mesh/tests/fixtures.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import random
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any
 
@@ -41,6 +40,7 @@
     read_whole,
     send,
 )
+from stand_ins.deployment import free_port
 
 NAMES = HeaderNames(
     b'x-id',
@@ -403,10 +403,3 @@
         yield mesh
     finally:
         await mesh.close()
-
-
-def free_port(ip: str = '127.0.0.1') -> int:
-    """Find a port on which nobody listens."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
--- a/carobmoor/mesh/tests/test_watchers.py
+++ b/carobmoor/mesh/tests/test_watchers.py
@@ -9,9 +9,10 @@
 
 from carobmoor.mesh._datagrams import Load, NodeRecord
 from carobmoor.mesh._watchers import is_watcher
-from carobmoor.mesh.tests.fixtures import Mesh, free_port, route_of, table_of
+from carobmoor.mesh.tests.fixtures import Mesh, route_of, table_of
 from carobmoor.mesh.tests.test_membership import run
 from carobmoor.transport import Address
+from stand_ins.deployment import free_port
 
 WATCHERS = 3
 NODES = 6
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -32,6 +32,7 @@
 _IP = '127.0.0.1'
 # Below the range of outgoing connections.
 _PORTS = (10_240, 32_000)
+_given: set[int] = set()
 _READY_TRIES = 300
 _READY_INTERVAL_S = 0.05
 _STOP_TIMEOUT_S = 20
@@ -271,17 +272,20 @@
         }
 
 
-def free_port() -> int:
-    """Find a port that nobody listens on.
+def free_port(ip: str = _IP) -> int:
+    """Find a port that nobody listens on, and that was not given before.
 
     Ports that the system gives to outgoing connections are avoided, since one
     of those could take the port before the process that it was found for.
+    Other processes may be given the same port.
     """
     while True:
         port = random.SystemRandom().randrange(*_PORTS)
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((_IP, port))
-            return port
+            probe.bind((ip, port))
+            if port not in _given:
+                _given.add(port)
+                return port
 
 
 def read_example(name: str) -> Any:
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,25 @@
+"""Ports for tests stay free until the process that needs them has started."""
+
+from pathlib import Path
+
+from carobmoor.mesh.tests.fixtures import Mesh
+from stand_ins.deployment import free_port
+
+_RANGE = Path('/proc/sys/net/ipv4/ip_local_port_range')
+PLACES = range(1, 40)
+
+
+def test_ports_are_below_outgoing_ones() -> None:
+    """An outgoing connection takes none of them meanwhile."""
+    lowest, _ = _RANGE.read_text().split()
+    mesh = Mesh()
+    ports = [
+        mesh.make(place).node.settings.metrics_address.port for place in PLACES
+    ]
+    assert max(*ports, free_port()) < int(lowest)
+
+
+def test_no_port_is_given_twice() -> None:
+    """Two listeners of one test never meet."""
+    ports = [free_port() for _ in range(2000)]
+    assert len(set(ports)) == len(ports)
