--- a/carobmoor/mesh/_room.py
+++ b/carobmoor/mesh/_room.py
@@ -2,7 +2,8 @@
 
 Some servers slow down when they are nearly full, so that the last slots cost
 more than they bring; others use every slot alike. Requests that started in
-the last slots are compared with those that started just below them.
+the last slots are compared with those that started just below them. A server
+whose queue never empties gets no starts below, so it is tried with less.
 """
 
 from typing import Final
@@ -11,9 +12,11 @@
 _KNEE_SHARE: Final = 0.8
 # Starts from this share on are under nearly the same load.
 _BELOW_SHARE: Final = 0.5
-# Of each kind, before the two are compared; the times of one kind spread by
-# half their mean, so that so many tell a third apart.
+# Of each kind, between comparisons; the times of one kind spread by half their
+# mean, so that so many tell a third apart nine times in ten.
 _LEAST_STARTS: Final = 24
+# Of each kind, before the last slots are taken to be good.
+_ENOUGH_STARTS: Final = 72
 # Older starts count half from then on.
 _MOST_STARTS: Final = 96
 # The last slots are left alone where they make a request so much longer.
@@ -53,16 +56,20 @@
     def __init__(self, slots: int) -> None:
         """Begin with every slot."""
         self.slots = slots
-        self._below = Starts()
+        self._narrow = max(1, int(slots * _KNEE_SHARE))
         self._above = Starts()
-        self._narrow_until_s = float(0)
+        self._below = Starts()
+        self._is_costly = False
+        # Of each kind, for the next comparison.
+        self._wanted_starts = _LEAST_STARTS
+        self._decided_until_s = float(0)
         self._near_until_s = float(0)
 
     def size(self, now_s: float) -> int:
         """Give how many requests it gets at once."""
-        if now_s < self._narrow_until_s:
-            return max(1, int(self.slots * _KNEE_SHARE))
-        return self.slots
+        if now_s < self._decided_until_s:
+            return self._narrow if self._is_costly else self.slots
+        return self._narrow if self._is_trying_less() else self.slots
 
     def note(self, running: int, slowness: float, now_s: float) -> None:
         """Take in a request that was answered well.
@@ -70,17 +77,28 @@
         `running` is how many ran with it at its start, and `slowness` its
         time as a multiple of what is usual for its kind.
         """
+        if now_s < self._decided_until_s:
+            return
         share = running / self.slots
+        is_near = now_s < self._near_until_s or self._is_trying_less()
         if share > _KNEE_SHARE:
             self._above.note(slowness)
             self._near_until_s = now_s + _NEAR_S
-        elif share > _BELOW_SHARE and now_s < self._near_until_s:
+        elif is_near and (share > _BELOW_SHARE or running == self._narrow):
             self._below.note(slowness)
-        else:
-            return
-        if min(self._above.count, self._below.count) < _LEAST_STARTS:
-            return
-        if self._above.mean > _COSTLY_RATIO * self._below.mean:
-            self._narrow_until_s = now_s + _RETRY_S
+        if min(self._above.count, self._below.count) >= self._wanted_starts:
+            self._compare(now_s)
+
+    def _is_trying_less(self) -> bool:
+        return self._below.count < self._wanted_starts <= self._above.count
+
+    def _compare(self, now_s: float) -> None:
+        costly = _COSTLY_RATIO * self._below.mean
+        self._is_costly = self._above.mean > costly
+        if self._is_costly or self._wanted_starts >= _ENOUGH_STARTS:
+            self._decided_until_s = now_s + _RETRY_S
+            self._wanted_starts = _LEAST_STARTS
             self._above = Starts()
             self._below = Starts()
+        else:
+            self._wanted_starts += _LEAST_STARTS
--- a/carobmoor/mesh/tests/test_room.py
+++ b/carobmoor/mesh/tests/test_room.py
@@ -26,13 +26,20 @@
     return 1.7 if share > KNEE else 1
 
 
-def play(room: Room, slowness: Slowness, rng: random.Random) -> float:
+def play(
+    room: Room,
+    slowness: Slowness,
+    rng: random.Random,
+    *,
+    is_saturated: bool = False,
+) -> float:
     """Start requests under pressure; give the time of the last."""
     now_s = float(0)
     for _ in range(STARTS):
         now_s += STEP_S
         size = room.size(now_s)
-        running = rng.randint(max(1, size // 2), size)
+        least = size if is_saturated else max(1, size // 2)
+        running = rng.randint(least, size)
         took = rng.lognormvariate(0, SPREAD) * slowness(running / room.slots)
         room.note(running, took, now_s)
     return now_s
@@ -59,6 +66,29 @@
     assert whole >= len(SEEDS) - 1
 
 
+@params((5, 4), (9, 7), (12, 9), (50, 40))
+def test_saturated_server_is_learned(slots, size):
+    """A server whose queue never empties is tried with less at once."""
+    narrowed = 0
+    for seed in SEEDS:
+        room = Room(slots)
+        now_s = play(room, knee, random.Random(seed), is_saturated=True)
+        narrowed += room.size(now_s) == size
+    assert narrowed >= len(SEEDS) - 1
+
+
+@params(2, 5, 9, 12, 50)
+def test_good_slots_are_used_when_saturated(slots):
+    """Trying with less at once ends soon where every slot is good."""
+    whole = 0
+    for seed in SEEDS:
+        room = Room(slots)
+        rng = random.Random(seed)
+        now_s = play(room, alike, rng, is_saturated=True)
+        whole += room.size(now_s) == slots
+    assert whole >= len(SEEDS) - 1
+
+
 def test_one_slot_is_always_used():
     """The share never comes to nothing."""
     for slots in (1, 2):
