Put a node that joins through a contact into a free seed row

Cause (stale-store, KNOWN-RED): a node whose settings name no peer finds others by the seed rows alone. One that joined through it took no row before its next look, 10 s later, so that the rows named the first node only. When that one started again while the store gave old rows, it met nobody, waited for nobody's word, and put the store's older version in force. At the usual intervals the second node takes a row when it has lost sight of the first, if that stays away long enough: hence 'flaky', and more often on a quiet machine. Ruled out: a first join that fails (peers were empty), the bound of 5 s on waiting for word (never reached).

Change: who joins through a contact takes a row that is free; rows of others, also stale ones, stay the keepers' business, so that a fleet that starts together doesn't contend for them. Test: test_who_joins_takes_a_free_seed_row, which failed before.

--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+import functools
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from result import Err
@@ -71,7 +72,8 @@
     rows = await _read_rows(platform)
     if rows is None:
         return
-    await _take_stale(gossip.state, platform, rows, is_alone=False)
+    is_stale = functools.partial(_is_stale, gossip.state)
+    await _take_row(gossip.state, platform, rows, is_stale)
     for row in rows:
         if _is_stranger(gossip.state, row):
             await gossip.exchange(_seed_of(row))
@@ -85,10 +87,16 @@
 ) -> None:
     met = await _meet_any(gossip, peers, rng)
     rows = await _read_rows(platform)
-    if met or rows is None:
+    if rows is None:
+        return
+    if met:
+        # Its contact may be the only seed, and start again alone.
+        await _take_row(gossip.state, platform, rows, lambda _: False)
         return
     met = await _meet_any(gossip, [_seed_of(row) for row in rows], rng)
-    await _take_stale(gossip.state, platform, rows, is_alone=not met)
+    is_stale = functools.partial(_is_stale, gossip.state)
+    may_take = is_stale if met else lambda _: True
+    await _take_row(gossip.state, platform, rows, may_take)
 
 
 async def _meet_any(
@@ -129,13 +137,13 @@
     return None if isinstance(listed, Err) else listed.ok_value
 
 
-async def _take_stale(
+async def _take_row(
     state: MembershipState,
     platform: Store,
     rows: Sequence[Row],
-    is_alone: bool,
+    may_take: Callable[[Row], bool],
 ) -> None:
-    """Put this node into one free or stale row of its region."""
+    """Put this node into one row of its region that is free or may be taken."""
     content = state.me.address.encode()
     is_held = any(row.content == content for row in rows)
     if is_held or state.me.standing is not Standing.ALIVE:
@@ -144,7 +152,7 @@
     for slot in range(_SLOTS_PER_REGION):
         key = f'{state.me.region}/{slot}'
         row = by_key.get(key)
-        if row is None or is_alone or _is_stale(state, row):
+        if row is None or may_take(row):
             etag = '' if row is None else row.etag
             written = await platform.put_row(_TABLE, key, content, etag)
             if written.is_ok():
--- a/carobmoor/membership/tests/test_sync.py
+++ b/carobmoor/membership/tests/test_sync.py
@@ -209,12 +209,15 @@
     assert ME.address not in named
 
 
-@params(((), [THERE]), (('10.0.0.7:7000',), ['10.0.0.7:7000', THERE]))
-def test_joining_goes_through_who_is_named(named, expected):
-    """A starting node asks whom its contact names first, then the contact."""
+def met_and_rows(named, rows=()):
+    """Let a node start beside a contact; give whom it met, and the rows."""
 
     async def scenario():
         gossip = Gossip(state_of(ME), ConnectionPool(), random.Random(0))
+        platform = FakePlatform()
+        for slot, address in enumerate(rows):
+            key = f'lagos/{slot}'
+            await platform.put_row('seeds', key, address.encode(), '')
         met = []
 
         async def exchange(address):
@@ -229,9 +232,26 @@
             mock.patch.object(gossip, 'exchange', exchange),
             mock.patch.object(gossip.peers, 'post', post),
         ):
-            await _try_to_join(
-                gossip, FakePlatform(), [THERE], random.Random(0)
-            )
-        return met
+            await _try_to_join(gossip, platform, [THERE], random.Random(0))
+        written = [content.decode() for content, _ in platform.rows.values()]
+        return met, written
 
-    assert asyncio.run(scenario()) == [str(each) for each in expected]
+    return asyncio.run(scenario())
+
+
+@params(((), [THERE]), (('10.0.0.7:7000',), ['10.0.0.7:7000', THERE]))
+def test_joining_goes_through_who_is_named(named, expected):
+    """A starting node asks whom its contact names first, then the contact."""
+    met, _ = met_and_rows(named)
+    assert met == [str(each) for each in expected]
+
+
+@params(
+    ((), [ME.address]),
+    ((OTHER.address,), [OTHER.address, ME.address]),
+    (('10.9.0.1:1', '10.9.0.2:1', OTHER.address), None),
+)
+def test_who_joins_takes_a_free_seed_row(rows, expected):
+    """So that the contact finds somebody when it starts again alone."""
+    _, written = met_and_rows((), rows)
+    assert written == list(expected or rows)
--- a/carobmoor/mesh/tests/test_dead_server.py
+++ b/carobmoor/mesh/tests/test_dead_server.py
@@ -14,7 +14,8 @@
     dead = mesh.nodes[0]
     await dead.backend.stop()
     told = await mesh.ask(dead, '/get/1')
-    return told.head.status, dead.node.backend.success.at(time.monotonic())
+    success = dead.node.backend.success
+    return told.head.status, success.at(time.monotonic())
 
 
 def test_refused_connection_is_proof():
@@ -27,13 +28,11 @@
 def test_server_comes_back_by_and_by():
     """It is trusted again within seconds, though not at once."""
 
-    async def scenario(mesh: Mesh) -> list[float]:
+    async def scenario(mesh: Mesh) -> list[int]:
         await _stop_and_ask(mesh)
-        rate = mesh.nodes[0].node.backend.success
-        now_s = time.monotonic()
-        return [rate.at(now_s + later_s) for later_s in (0, 2, 10)]
-
-    at_once, soon, later = run(scenario, None, None)
-    assert at_once < MOST_SUCCESS
-    assert 0.4 < soon < 0.6
-    assert later > 0.9
+        node = mesh.nodes[0].node
+        rate = node.backend.success
+        at_s = rate.noted_at_s
+        return [int(100 * rate.at(at_s + later_s)) for later_s in (0, 2, 10)]
+
+    assert run(scenario, None, None) == [0, 50, 97]
