--- a/carobmoor/mesh/_backend_call.py
+++ b/carobmoor/mesh/_backend_call.py
@@ -14,7 +14,6 @@
     Answer,
     CallFailure,
     OutgoingRequest,
-    Step,
     end_to_end,
     header_of,
     send,
@@ -70,7 +69,7 @@
     now_s = time.monotonic()
     if isinstance(sent, Err):
         if now_s < deadline_s:
-            _note_failure(node, sent.err_value, now_s)
+            node.backend.success.note(False, now_s)
         return Err(failure_of(sent.err_value))
     answer = sent.ok_value
     load = read_load(header_of(answer.head.headers, node.names.load))
@@ -84,14 +83,6 @@
     return Err(failure)
 
 
-def _note_failure(node: MeshNode, failure: CallFailure, now_s: float) -> None:
-    if failure.step is Step.CONNECT:
-        # A server that died looks idle to whoever asks its node.
-        node.backend.success.drop(now_s)
-    else:
-        node.backend.success.note(False, now_s)
-
-
 def _fault_of(node: MeshNode, answer: Answer) -> Failure | None:
     """Tell why an answer is not passed on; `None` when it is."""
     headers = answer.head.headers
