--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -7,7 +7,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from carobmoor.mesh._choose import AGAIN_MS, Wanted, choose
+from carobmoor.mesh._choose import Wanted, choose
 from carobmoor.mesh._datagrams import LOAD_HEADER, Load, decode_datagram
 from carobmoor.mesh._hop import HOP_HEADER, Hop, encode_hop
 from carobmoor.mesh._order import Order, Running, failure_of
@@ -23,7 +23,6 @@
     Unknown,
     decode_failure,
 )
-from carobmoor.routes import Kind, Route
 from carobmoor.routing import FAR
 from carobmoor.transport import (
     Answer,
@@ -77,7 +76,6 @@
         node.times.answers.usual_ms(pursuit.route.name),
         _FAR_MS + size_kb * _FAR_MS_PER_KB,
         size_kb * _NEAR_MS_PER_KB,
-        _loss_ms(pursuit.route),
         pursuit.tried,
     )
     now_s = time.monotonic()
@@ -91,17 +89,6 @@
     return chosen
 
 
-def _loss_ms(route: Route) -> float:
-    """Give what a lost attempt costs, as a delay of equal worth.
-
-    An answer that can't be had again is lost with it, which is as bad as one
-    that is late by its whole target.
-    """
-    if route.kind is Kind.IDEMPOTENT:
-        return AGAIN_MS
-    return max(AGAIN_MS, route.target_latency_ms)
-
-
 def _inputs_of(peer: Peer, now_s: float) -> Mapping[str, object]:
     """Give what was known of an owner when it was chosen."""
     inputs: dict[str, object] = {
--- a/carobmoor/mesh/_choose.py
+++ b/carobmoor/mesh/_choose.py
@@ -10,10 +10,8 @@
 _USUAL_PERCENT: Final = 100
 _PERMILLE: Final = 1000
 _MS_PER_S: Final = 1000
-# What a lost attempt costs a request that is sent again, besides its time.
-AGAIN_MS: Final = 400
-# Above any prediction for a server that is up.
-_DOWN_MS: Final = 400_000
+# What a lost attempt costs besides its own time.
+_FAILURE_MS: Final = 400
 # Predictions closer than this are taken as equal.
 _NOISE_MS: Final = 2
 _LEAST_SUCCESS: Final = 0.05
@@ -28,8 +26,6 @@
     # What sending it to another region costs, as a delay of equal worth.
     far_ms: float
     near_ms: float
-    # What a lost attempt costs besides its own time.
-    loss_ms: float
     tried: Collection[Address] = ()
 
 
@@ -52,7 +48,7 @@
         cost_ms = predict_ms(peer, wanted, now_s)
         cost_ms += _NOISE_MS * rng.random()
         if peer.down_until_s > now_s:
-            cost_ms += _DOWN_MS
+            cost_ms += _FAILURE_MS * _MS_PER_S
         if cost_ms < best_ms:
             best = peer
             best_ms = cost_ms
@@ -65,7 +61,7 @@
     waiting = max(0, _busy(peer) + 1 - peer.room)
     queue_ms = base_ms * waiting / peer.room
     success = max(_LEAST_SUCCESS, _success(peer, now_s))
-    failing_ms = (1 - success) / success * wanted.loss_ms
+    failing_ms = (1 - success) / success * _FAILURE_MS
     way_ms = (
         peer.round_trip_ms + (0, wanted.near_ms, wanted.far_ms)[peer.distance]
     )
