End the trial with less when the pressure ends

Cause: read again, the trial could compare slow starts under pressure, when calls to other servers take longer too, with starts of a calm minutes later, and leave good slots alone for a minute. Change: the trial lasts five seconds after the last start in the last slots; if it lapses, both sides are forgotten. Test: test_trying_less_ends_with_the_pressure, which failed before.

--- a/carobmoor/mesh/_room.py
+++ b/carobmoor/mesh/_room.py
@@ -24,6 +24,9 @@
 # Starts below the last slots count only so near to one within them, when the
 # load on whatever the server calls is alike.
 _NEAR_S: Final = 2
+# Trying less lasts so long after the last start above: two dozen starts of
+# 0.8 s on four slots.
+_TRIAL_S: Final = 5
 # After so long the last slots are tried again.
 _RETRY_S: Final = 60
 
@@ -63,13 +66,13 @@
         # Of each kind, for the next comparison.
         self._wanted_starts = _LEAST_STARTS
         self._decided_until_s = float(0)
-        self._near_until_s = float(0)
+        self._above_at_s = float(0)
 
     def size(self, now_s: float) -> int:
         """Give how many requests it gets at once."""
         if now_s < self._decided_until_s:
             return self._narrow if self._is_costly else self.slots
-        return self._narrow if self._is_trying_less() else self.slots
+        return self._narrow if self._is_trying_less(now_s) else self.slots
 
     def note(self, running: int, slowness: float, now_s: float) -> None:
         """Take in a request that was answered well.
@@ -79,17 +82,24 @@
         """
         if now_s < self._decided_until_s:
             return
+        if self._is_due() and not self._is_trying_less(now_s):
+            # The pressure went away before there was enough to compare.
+            self._begin()
         share = running / self.slots
-        is_near = now_s < self._near_until_s or self._is_trying_less()
+        is_near = now_s < self._above_at_s + _NEAR_S
+        is_near = is_near or self._is_trying_less(now_s)
         if share > _KNEE_SHARE:
             self._above.note(slowness)
-            self._near_until_s = now_s + _NEAR_S
+            self._above_at_s = now_s
         elif is_near and (share > _BELOW_SHARE or running == self._narrow):
             self._below.note(slowness)
         if min(self._above.count, self._below.count) >= self._wanted_starts:
             self._compare(now_s)
 
-    def _is_trying_less(self) -> bool:
+    def _is_trying_less(self, now_s: float) -> bool:
+        return self._is_due() and now_s <= self._above_at_s + _TRIAL_S
+
+    def _is_due(self) -> bool:
         return self._below.count < self._wanted_starts <= self._above.count
 
     def _compare(self, now_s: float) -> None:
@@ -97,8 +107,11 @@
         self._is_costly = self._above.mean > costly
         if self._is_costly or self._wanted_starts >= _ENOUGH_STARTS:
             self._decided_until_s = now_s + _RETRY_S
-            self._wanted_starts = _LEAST_STARTS
-            self._above = Starts()
-            self._below = Starts()
+            self._begin()
         else:
             self._wanted_starts += _LEAST_STARTS
+
+    def _begin(self) -> None:
+        self._wanted_starts = _LEAST_STARTS
+        self._above = Starts()
+        self._below = Starts()
--- a/carobmoor/mesh/tests/test_room.py
+++ b/carobmoor/mesh/tests/test_room.py
@@ -89,6 +89,18 @@
     assert whole >= len(SEEDS) - 1
 
 
+def test_trying_less_ends_with_the_pressure():
+    """Slow starts under pressure aren't compared with those of a calm."""
+    room = Room(12)
+    for _ in range(STARTS):
+        room.note(12, 3, 0)
+    assert room.size(1) == 9
+    assert room.size(6) == 12
+    for _ in range(STARTS):
+        room.note(9, 1, 6)
+    assert room.size(6) == 12
+
+
 def test_one_slot_is_always_used():
     """The share never comes to nothing."""
     for slots in (1, 2):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -159,14 +159,19 @@
 
 
 async def ask_late(address):
-    """Connect, send a request a little later, and give its status."""
+    """Give a request's status; `None` where no connection was taken."""
     try:
-        reader, writer = await asyncio.open_connection(*address)
-        await asyncio.sleep(0.1)
-        writer.write(PLAIN)
-        head = await reader.readuntil(b'\r\n')
+        return await ask_after_connecting(address)
     except (OSError, asyncio.IncompleteReadError):
         return None
+
+
+async def ask_after_connecting(address):
+    """Connect, send a request a little later, and give its status."""
+    reader, writer = await asyncio.open_connection(*address)
+    await asyncio.sleep(0.1)
+    writer.write(PLAIN)
+    head = await reader.readuntil(b'\r\n')
     writer.close()
     return head.split()[1]
 
