--- a/carobmoor/mesh/tests/fixtures.py
+++ b/carobmoor/mesh/tests/fixtures.py
@@ -4,14 +4,12 @@
 import contextlib
 import itertools
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
-from typing import Any
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from result import Err, Ok, Result
 
 from carobmoor.mesh import (
     Announcement,
-    HeaderNames,
     MeshNode,
     MeshParts,
     MeshSettings,
@@ -19,6 +17,8 @@
     Standing,
     start_mesh_node,
 )
+from carobmoor.mesh.tests.memory_store import MemoryStore
+from carobmoor.mesh.tests.scripted import NAMES, Backend, Serve
 from carobmoor.routes import (
     CallerLimits,
     Kind,
@@ -27,185 +27,24 @@
     RoutedService,
     RouteTable,
 )
-from carobmoor.store import Row, RowChanges, StoreFailure, StoreFault
 from carobmoor.transport import (
     Address,
     ConnectionPool,
-    IncomingRequest,
     JsonAnswer,
-    Listener,
     OutgoingRequest,
-    ServingLimits,
-    header_of,
     read_whole,
     send,
 )
 from stand_ins.deployment import free_port
 
-NAMES = HeaderNames(
-    b'x-id',
-    b'x-deadline-ms',
-    b'x-signature',
-    b'x-expected',
-    b'x-load',
-    b'x-not-run',
-    b'x-caller-service',
-)
 HOST = 'shop.example'
 PATIENCE_S = 5.0
 SERVICE = 'bookings'
 _MOST_ANSWER_BYTES = 1_000_000
 LIMITS = CallerLimits(16_384, 10_000_000, 3000, 15_000)
-Serve = Callable[[IncomingRequest], Awaitable[None]]
 _instances = itertools.count(1)
 
 
-class MemoryStore:
-    """Rows in memory, with a feed, and a switch that takes it down."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self.tables: dict[str, dict[str, Row]] = {}
-        self.version = 0
-        self.is_down = False
-        self.calls: list[str] = []
-        self._changed = asyncio.Event()
-
-    async def get_row(
-        self, table: str, key: str
-    ) -> Result[Row | None, StoreFailure]:
-        """Read a row."""
-        return self._called('get') or Ok(self.tables.get(table, {}).get(key))
-
-    async def read_rows(
-        self, table: str, prefix: str = ''
-    ) -> Result[RowChanges, StoreFailure]:
-        """Read rows."""
-        rows = [
-            row
-            for key, row in sorted(self.tables.get(table, {}).items())
-            if key.startswith(prefix)
-        ]
-        changes = RowChanges(rows, (), self.version)
-        return self._called('read') or Ok(changes)
-
-    async def watch_rows(
-        self, table: str, after_version: int, wait_s: float
-    ) -> Result[RowChanges, StoreFailure]:
-        """Wait for changes."""
-        failed = self._called('watch')
-        if failed:
-            return failed
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_s):
-                while not self._since(table, after_version):
-                    await self._changed.wait()
-        if self.is_down:
-            return self.failure()
-        rows = self._since(table, after_version)
-        return Ok(RowChanges(rows, (), self.version))
-
-    def _since(self, table: str, version: int) -> list[Row]:
-        """Give the rows that changed; a store that is down wakes all."""
-        rows = self.tables.get(table, {}).values()
-        return [row for row in rows if self.is_down or int(row.etag) > version]
-
-    async def put_row(
-        self, table: str, key: str, content: bytes, etag: str
-    ) -> Result[Row, StoreFailure]:
-        """Write a row under a condition."""
-        failed = self._called('put')
-        if failed:
-            return failed
-        known = self.tables.get(table, {}).get(key)
-        if (known.etag if known else '') != etag:
-            return self.failure(StoreFault.PRECONDITION)
-        return Ok(self.write(table, key, content))
-
-    async def delete_row(
-        self, table: str, key: str, etag: str
-    ) -> Result[None, StoreFailure]:
-        """Delete a row."""
-        failed = self._called('delete')
-        if failed:
-            return failed
-        self.tables.get(table, {}).pop(key, None)
-        return Ok(None)
-
-    def write(self, table: str, key: str, content: bytes) -> Row:
-        """Write a row, as an operator does."""
-        self.version += 1
-        row = Row(key, content, str(self.version))
-        self.tables.setdefault(table, {})[key] = row
-        changed = self._changed
-        self._changed = asyncio.Event()
-        changed.set()
-        return row
-
-    def take_down(self) -> None:
-        """Fail every call from now on."""
-        self.is_down = True
-        self._changed.set()
-
-    def failure(self, fault: StoreFault = StoreFault.UNAVAILABLE) -> Any:
-        """Make a failure."""
-        return Err(StoreFailure(fault, 'answer', 'store', 'scripted'))
-
-    def _called(self, call: str) -> Any:
-        self.calls.append(call)
-        return self.failure() if self.is_down else None
-
-
-class Backend:
-    """A scripted backend server that counts what it ran."""
-
-    def __init__(self, address: Address, serve: Serve | None = None) -> None:
-        """Answer with `serve`, or at once."""
-        self.address = address
-        self.ran: list[IncomingRequest] = []
-        self.bodies: list[bytes] = []
-        self.load = ''
-        self._serve = serve
-        self._listener = Listener(self._take, ServingLimits)
-
-    async def start(self) -> None:
-        """Listen."""
-        await self._listener.listen(self.address)
-
-    async def stop(self) -> None:
-        """Listen no longer and cut what is open."""
-        self._listener.stop_accepting()
-        for connection in tuple(self._listener.connections):
-            connection.abort()
-
-    def answer(
-        self,
-        request: IncomingRequest,
-        status: int = 200,
-        body: bytes = b'done',
-        extra: Sequence[tuple[bytes, bytes]] = (),
-    ) -> None:
-        """Answer as a backend server does."""
-        request_id = header_of(request.headers, NAMES.request_id)
-        named = (NAMES.request_id, request_id.encode())
-        signed = (NAMES.signature, b'signed')
-        loaded = ((NAMES.load, self.load.encode()),) if self.load else ()
-        request.respond(status, (named, signed, *loaded, *extra), body)
-
-    async def _take(self, request: IncomingRequest) -> None:
-        if request.target == b'/health':
-            loaded = ((NAMES.load, self.load.encode()),) if self.load else ()
-            request.respond(200, loaded)
-            return
-        self.ran.append(request)
-        if self._serve is None:
-            chunks = [chunk async for chunk in request.chunks()]
-            self.bodies.append(b''.join(chunks))
-            self.answer(request)
-        else:
-            await self._serve(request)
-
-
 class Beside(MeshParts):
     """A node and its backend server."""
 
--- /dev/null
+++ b/carobmoor/mesh/tests/memory_store.py
@@ -0,0 +1,105 @@
+"""A store in memory for the tests of this slice."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+from result import Err, Ok, Result
+
+from carobmoor.store import Row, RowChanges, StoreFailure, StoreFault
+
+
+class MemoryStore:
+    """Rows in memory, with a feed, and a switch that takes it down."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.tables: dict[str, dict[str, Row]] = {}
+        self.version = 0
+        self.is_down = False
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    async def get_row(
+        self, table: str, key: str
+    ) -> Result[Row | None, StoreFailure]:
+        """Read a row."""
+        return self._called('get') or Ok(self.tables.get(table, {}).get(key))
+
+    async def read_rows(
+        self, table: str, prefix: str = ''
+    ) -> Result[RowChanges, StoreFailure]:
+        """Read rows."""
+        rows = [
+            row
+            for key, row in sorted(self.tables.get(table, {}).items())
+            if key.startswith(prefix)
+        ]
+        changes = RowChanges(rows, (), self.version)
+        return self._called('read') or Ok(changes)
+
+    async def watch_rows(
+        self, table: str, after_version: int, wait_s: float
+    ) -> Result[RowChanges, StoreFailure]:
+        """Wait for changes."""
+        failed = self._called('watch')
+        if failed:
+            return failed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self._since(table, after_version):
+                    await self._changed.wait()
+        if self.is_down:
+            return self.failure()
+        rows = self._since(table, after_version)
+        return Ok(RowChanges(rows, (), self.version))
+
+    def _since(self, table: str, version: int) -> list[Row]:
+        """Give the rows that changed; a store that is down wakes all."""
+        rows = self.tables.get(table, {}).values()
+        return [row for row in rows if self.is_down or int(row.etag) > version]
+
+    async def put_row(
+        self, table: str, key: str, content: bytes, etag: str
+    ) -> Result[Row, StoreFailure]:
+        """Write a row under a condition."""
+        failed = self._called('put')
+        if failed:
+            return failed
+        known = self.tables.get(table, {}).get(key)
+        if (known.etag if known else '') != etag:
+            return self.failure(StoreFault.PRECONDITION)
+        return Ok(self.write(table, key, content))
+
+    async def delete_row(
+        self, table: str, key: str, etag: str
+    ) -> Result[None, StoreFailure]:
+        """Delete a row."""
+        failed = self._called('delete')
+        if failed:
+            return failed
+        self.tables.get(table, {}).pop(key, None)
+        return Ok(None)
+
+    def write(self, table: str, key: str, content: bytes) -> Row:
+        """Write a row, as an operator does."""
+        self.version += 1
+        row = Row(key, content, str(self.version))
+        self.tables.setdefault(table, {})[key] = row
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
+        return row
+
+    def take_down(self) -> None:
+        """Fail every call from now on."""
+        self.is_down = True
+        self._changed.set()
+
+    def failure(self, fault: StoreFault = StoreFault.UNAVAILABLE) -> Any:
+        """Make a failure."""
+        return Err(StoreFailure(fault, 'answer', 'store', 'scripted'))
+
+    def _called(self, call: str) -> Any:
+        self.calls.append(call)
+        return self.failure() if self.is_down else None
--- /dev/null
+++ b/carobmoor/mesh/tests/scripted.py
@@ -0,0 +1,73 @@
+"""A scripted backend server, and the names of headers in these tests."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+from carobmoor.mesh import HeaderNames
+from carobmoor.transport import (
+    Address,
+    IncomingRequest,
+    Listener,
+    ServingLimits,
+    header_of,
+)
+
+NAMES = HeaderNames(
+    b'x-id',
+    b'x-deadline-ms',
+    b'x-signature',
+    b'x-expected',
+    b'x-load',
+    b'x-not-run',
+    b'x-caller-service',
+)
+Serve = Callable[[IncomingRequest], Awaitable[None]]
+
+
+class Backend:
+    """A scripted backend server that counts what it ran."""
+
+    def __init__(self, address: Address, serve: Serve | None = None) -> None:
+        """Answer with `serve`, or at once."""
+        self.address = address
+        self.ran: list[IncomingRequest] = []
+        self.bodies: list[bytes] = []
+        self.load = ''
+        self._serve = serve
+        self._listener = Listener(self._take, ServingLimits)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._listener.listen(self.address)
+
+    async def stop(self) -> None:
+        """Listen no longer and cut what is open."""
+        self._listener.stop_accepting()
+        for connection in tuple(self._listener.connections):
+            connection.abort()
+
+    def answer(
+        self,
+        request: IncomingRequest,
+        status: int = 200,
+        body: bytes = b'done',
+        extra: Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Answer as a backend server does."""
+        request_id = header_of(request.headers, NAMES.request_id)
+        named = (NAMES.request_id, request_id.encode())
+        signed = (NAMES.signature, b'signed')
+        loaded = ((NAMES.load, self.load.encode()),) if self.load else ()
+        request.respond(status, (named, signed, *loaded, *extra), body)
+
+    async def _take(self, request: IncomingRequest) -> None:
+        if request.target == b'/health':
+            loaded = ((NAMES.load, self.load.encode()),) if self.load else ()
+            request.respond(200, loaded)
+            return
+        self.ran.append(request)
+        if self._serve is None:
+            chunks = [chunk async for chunk in request.chunks()]
+            self.bodies.append(b''.join(chunks))
+            self.answer(request)
+        else:
+            await self._serve(request)
--- a/carobmoor/mesh/tests/test_forwarding.py
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -8,15 +8,13 @@
 from nose2.tools import params
 
 from carobmoor.mesh.tests.fixtures import (
-    NAMES,
-    Backend,
     Mesh,
-    Serve,
     mesh_of,
     ready,
     route_of,
     table_of,
 )
+from carobmoor.mesh.tests.scripted import NAMES, Backend, Serve
 from carobmoor.routes import Kind
 from carobmoor.transport import IncomingRequest, header_of
 
