--- a/carobmoor/mesh/tests/fixtures.py
+++ b/carobmoor/mesh/tests/fixtures.py
@@ -18,7 +18,7 @@
     start_mesh_node,
 )
 from carobmoor.mesh.tests.memory_store import MemoryStore
-from carobmoor.mesh.tests.scripted import NAMES, Backend, Serve
+from carobmoor.mesh.tests.scripted import NAMES, ScriptedServer, Serve
 from carobmoor.routes import (
     CallerLimits,
     Kind,
@@ -48,7 +48,7 @@
 class Beside(MeshParts):
     """A node and its backend server."""
 
-    backend: Backend
+    backend: ScriptedServer
     tasks: list[asyncio.Task[None]]
 
     def announce(self, heard: Announcement) -> None:
@@ -156,7 +156,7 @@
         node = MeshNode(settings, NAMES)
         node.rng = random.Random(place)
         beside = Beside(node, self.store, source, lambda *_: Err('unread'))
-        beside.backend = Backend(settings.backend_server, serve)
+        beside.backend = ScriptedServer(settings.backend_server, serve)
         return beside
 
     async def add(
--- a/carobmoor/mesh/tests/scripted.py
+++ b/carobmoor/mesh/tests/scripted.py
@@ -23,7 +23,7 @@
 Serve = Callable[[IncomingRequest], Awaitable[None]]
 
 
-class Backend:
+class ScriptedServer:
     """A scripted backend server that counts what it ran."""
 
     def __init__(self, address: Address, serve: Serve | None = None) -> None:
--- a/carobmoor/mesh/tests/test_forwarding.py
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -14,7 +14,7 @@
     route_of,
     table_of,
 )
-from carobmoor.mesh.tests.scripted import NAMES, Backend, Serve
+from carobmoor.mesh.tests.scripted import NAMES, ScriptedServer, Serve
 from carobmoor.routes import Kind
 from carobmoor.transport import IncomingRequest, header_of
 
@@ -283,5 +283,5 @@
     return crash
 
 
-def _backends(mesh: Mesh) -> list[Backend]:
+def _backends(mesh: Mesh) -> list[ScriptedServer]:
     return [beside.backend for beside in mesh.nodes]
--- a/carobmoor/node/_departure.py
+++ b/carobmoor/node/_departure.py
@@ -158,15 +158,16 @@
 
 async def _wait_for_unused(server: Any) -> None:
     """Let requests come that follow their connections, within a bound."""
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(_UNUSED_S):
-            while True:
-                if not any(
-                    connection.is_unused
-                    for connection in server.server_state.connections
-                ):
-                    break
-                await asyncio.sleep(_UNUSED_POLL_S)
+    until_s = time.monotonic() + _UNUSED_S
+    while True:
+        if not _has_unused(server) or time.monotonic() > until_s:
+            break
+        await asyncio.sleep(_UNUSED_POLL_S)
+
+
+def _has_unused(server: Any) -> bool:
+    connections = server.server_state.connections
+    return any(connection.is_unused for connection in connections)
 
 
 def _note_cut(departure: Departure) -> None:
