Serve pipelined idempotent requests together, answer them in order

Cause: a connection served one request after another, so each pipelined request waited for the one before it. A 'Connection: close' of a later request closed after the earlier answer, and a malformed request behind good ones reset the connection before they were answered. Change: AnswerOrder keeps the place of each answer; an answer that ends early is held. Complete requests to idempotent routes start beside each other, up to 16 per connection, while 256 KiB per connection and 8 MiB per listener are held at most; others start alone. A closing request, a refusal and a planned stop keep their place in the order, and nothing behind them starts. A caller that leaves is noticed also while reading is paused. The next request now starts when the answer has ended, not when its handler has returned.

--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -15,7 +15,7 @@
     DecodeAnnouncement,
     serve_readiness,
 )
-from carobmoor.mesh._forward import serve_caller
+from carobmoor.mesh._forward import is_idempotent, serve_caller
 from carobmoor.mesh._gossip import GossipProtocol
 from carobmoor.mesh._load_publisher import publish_load
 from carobmoor.mesh._messages import MeshSettings
@@ -59,6 +59,7 @@
         self.callers = Listener(
             functools.partial(serve_caller, node),
             node.limits,
+            functools.partial(is_idempotent, node),
         )
         self.nodes = Listener(
             functools.partial(serve_peer, node),
--- a/carobmoor/transport/_incoming.py
+++ b/carobmoor/transport/_incoming.py
@@ -21,13 +21,35 @@
     idle_timeout_s: float = 75
     # Whether each connection closes after its next answer.
     is_closing: bool = False
+    # Requests of one connection that are served at the same time.
+    max_in_progress: int = 16
+    # Bytes of answers that wait for earlier ones, per connection and on all
+    # connections of a listener. Beyond either no request is started early.
+    max_held_bytes: int = 262_144
+    max_held_total_bytes: int = 8_388_608
+
+
+class AnswerPlace(NamedTuple):
+    """How many answers of a connection are before and behind one."""
+
+    ahead: int
+    behind: int
 
 
 class AnswerSink(Protocol):
-    """The connection on which a request was received."""
+    """Where the answer of a request goes."""
 
-    peer: str
-    closes_after_answer: bool
+    @property
+    def peer(self) -> str:
+        """The address of the peer as `ip:port`."""
+
+    @property
+    def closes_after_answer(self) -> bool:
+        """Whether the answer must announce that the connection closes."""
+
+    @property
+    def place(self) -> AnswerPlace:
+        """The place of the answer in the order of the connection."""
 
     def write(self, payload: bytes) -> None:
         """Write data."""
@@ -38,8 +60,11 @@
     def resume_reading(self) -> None:
         """Resume reading if it is paused."""
 
+    def end(self) -> None:
+        """End the answer."""
+
     def abort(self) -> None:
-        """Reset the connection."""
+        """End the answer as incomplete and close the connection."""
 
 
 class CallerLost(ConnectionError):
@@ -52,8 +77,11 @@
     The handler calls either `respond`, or `start`, `write` and `end`.
     """
 
-    def __init__(self, connection: AnswerSink) -> None:
-        """Create an empty request; the connection fills it while reading."""
+    def __init__(self, peer: str) -> None:
+        """Create an empty request; the connection fills it while reading.
+
+        `answer_to` must be called before the request is handled.
+        """
         loop = asyncio.get_running_loop()
         self.method = ''
         self.target = b''
@@ -64,8 +92,11 @@
         self.is_complete = False
         self.has_started = False
         self.has_ended = False
+        # Size of the target and the headers.
+        self.head_bytes = 0
         self.buffered_bytes = 0
-        self._connection = connection
+        self.peer = peer
+        self._sink: AnswerSink
         self._chunks: deque[bytes] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._is_chunked = False
@@ -79,9 +110,13 @@
         return int(get_header(self.headers, b'content-length') or 0)
 
     @property
-    def peer(self) -> str:
-        """The address of the peer as `ip:port`."""
-        return self._connection.peer
+    def place(self) -> AnswerPlace:
+        """The place of the answer in the order of its connection."""
+        return self._sink.place
+
+    def answer_to(self, sink: AnswerSink) -> None:
+        """Set where the answer goes."""
+        self._sink = sink
 
     def feed(self, chunk: bytes) -> None:
         """Buffer a chunk of the body; the connection calls this."""
@@ -104,7 +139,7 @@
         while not self._chunks and not self.is_complete:
             if self.disconnected.done():
                 raise CallerLost(self.peer)
-            self._connection.resume_reading()
+            self._sink.resume_reading()
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         if not self._chunks:
@@ -121,7 +156,7 @@
     def send_continue(self) -> None:
         """Send `100 Continue` if the peer expects it."""
         if get_header(self.headers, b'expect').lower() == '100-continue':
-            self._connection.write(_CONTINUE)
+            self._sink.write(_CONTINUE)
 
     def respond(
         self,
@@ -131,7 +166,7 @@
     ) -> None:
         """Send a complete answer."""
         head = self._head(status, headers, len(body))
-        self._connection.write(head if self.method == 'HEAD' else head + body)
+        self._sink.write(head if self.method == 'HEAD' else head + body)
         self._finish()
 
     def start(
@@ -142,7 +177,7 @@
     ) -> None:
         """Send the head of an answer; chunked if `length_bytes` is `None`."""
         self._is_chunked = length_bytes is None
-        self._connection.write(self._head(status, headers, length_bytes))
+        self._sink.write(self._head(status, headers, length_bytes))
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the answer and wait until the buffer has room.
@@ -152,21 +187,21 @@
         encoded = chunk
         if self._is_chunked:
             encoded = b'%x\r\n%b\r\n' % (len(chunk), chunk)
-        self._connection.write(encoded)
-        await self._connection.drain()
+        self._sink.write(encoded)
+        await self._sink.drain()
         if self.disconnected.done():
             raise CallerLost(self.peer)
 
     def end(self) -> None:
         """End an answer that was begun with `start`."""
         if self._is_chunked:
-            self._connection.write(_LAST_CHUNK)
+            self._sink.write(_LAST_CHUNK)
         self._finish()
 
     def abort(self) -> None:
-        """Reset the connection, so that a partial answer is seen as such."""
+        """Close the connection, so that a partial answer is seen as such."""
         self.has_ended = True
-        self._connection.abort()
+        self._sink.abort()
 
     def _head(
         self,
@@ -182,7 +217,7 @@
             parts.append(b'transfer-encoding: chunked\r\n')
         else:
             parts.append(b'content-length: %d\r\n' % length_bytes)
-        if self._connection.closes_after_answer:
+        if self._sink.closes_after_answer:
             parts.append(b'connection: close\r\n')
         parts.append(b'\r\n')
         return b''.join(parts)
@@ -193,9 +228,11 @@
             # The rest of this body must not be read as the next request's.
             self._is_discarded = True
             self._chunks.clear()
+            self.buffered_bytes = 0
         # The last chunk may have paused reading. Unless it is resumed, the
         # next request on the connection is never read.
-        self._connection.resume_reading()
+        self._sink.resume_reading()
+        self._sink.end()
 
 
 def status_line(status: int) -> bytes:
--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -1,7 +1,7 @@
-"""Server side of connections: requests are read and served in order."""
+"""Server side of connections: requests are read, and answered in order."""
 
 import asyncio
-from collections import deque
+import select
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Final
@@ -9,6 +9,11 @@
 import httptools
 
 from carobmoor.telemetry import logger_for
+from carobmoor.transport._answer_order import (
+    AnswerOrder,
+    AnswerSlot,
+    HeldBytes,
+)
 from carobmoor.transport._incoming import (
     CallerLost,
     IncomingRequest,
@@ -20,11 +25,19 @@
 _PAUSE_READING_BYTES: Final = 65536
 # How long a connection stays half-open, so that the peer reads the answer.
 _LINGER_S: Final = 1
+# Interval of the checks whether the peer has gone while reading is paused.
+_HANGUP_POLL_S: Final = 0.2
+_HANGUP_EVENTS: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _log = logger_for('transport')
 
 RequestHandler = Callable[[IncomingRequest], Awaitable[None]]
 
 
+def never_overlaps(request: IncomingRequest) -> bool:
+    """Return that a request is served alone on its connection."""
+    return False
+
+
 class Listener:
     """A listening socket and its connections."""
 
@@ -32,11 +45,20 @@
         self,
         serve: RequestHandler,
         limits: Callable[[], ServingLimits],
+        may_overlap: Callable[[IncomingRequest], bool] = never_overlaps,
     ) -> None:
-        """Set the handler; `limits` is called whenever a limit applies."""
+        """Set the handler; `limits` is called whenever a limit applies.
+
+        `may_overlap` tells whether a complete request may be served beside
+        other such requests of its connection.
+        """
         self.serve = serve
         self.limits = limits
+        self.may_overlap = may_overlap
         self.connections: set[ServingConnection] = set()
+        self.held = HeldBytes()
+        # Requests that were started before all earlier answers were sent.
+        self.overlapped = 0
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
@@ -60,27 +82,37 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    def may_start_early(self, order: AnswerOrder) -> bool:
+        """Return whether the limits allow one more overlapping request."""
+        limits = self.limits()
+        return (
+            not limits.is_closing
+            and order.held_bytes < limits.max_held_bytes
+            and self.held.total_bytes < limits.max_held_total_bytes
+        )
+
 
 class ServingConnection(asyncio.Protocol):
-    """A connection that reads requests and serves them one by one."""
+    """A connection that reads requests and answers them in order."""
 
     def __init__(self, listener: Listener) -> None:
         """Create the state of a connection that was just accepted."""
         self.peer = ''
-        self.closes_after_answer = False
         self._listener = listener
         self._transport: asyncio.Transport
         self._parser = httptools.HttpRequestParser(self)
+        self._order = AnswerOrder(self, listener.held)
         self._reading_request: IncomingRequest | None = None
-        self._serving_request: IncomingRequest | None = None
-        self._queued_requests: deque[IncomingRequest] = deque()
-        self._worker: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
         self._head_bytes = 0
         self._body_bytes = 0
+        # No more requests are taken: one was refused or closes the connection.
+        self._is_input_ended = False
         self._is_refused = False
         self._is_reading_paused = False
+        self._has_overlapped = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timer."""
@@ -89,17 +121,13 @@
         self.peer = f'{ip}:{port}'
         self._listener.connections.add(self)
         self._start_timer(
-            self._listener.limits().idle_timeout_s, self._close_idle
+            self._listener.limits().idle_timeout_s, self.close_if_idle
         )
 
     def data_received(self, received: bytes) -> None:
         """Parse received data; refuse invalid or oversized requests."""
-        if self._is_refused:
+        if self._is_input_ended and self._reading_request is None:
             return
-        if self._reading_request is None and not self._head_bytes:
-            self._start_timer(
-                self._listener.limits().head_timeout_s, self._refuse_late_head
-            )
         if self._is_in_head:
             self._head_bytes += len(received)
         try:
@@ -108,9 +136,7 @@
             self._refuse(HTTPStatus.BAD_REQUEST, str(error))
             return
         except httptools.HttpParserUpgrade:
-            self._refuse(
-                HTTPStatus.BAD_REQUEST, 'protocol upgrade not supported'
-            )
+            # `on_headers_complete` has refused the request.
             return
         if self._is_in_head:
             self._check_head_size(self._head_bytes)
@@ -138,8 +164,13 @@
 
     def on_message_begin(self) -> None:
         """Start another request."""
-        self._reading_request = IncomingRequest(self)
+        if self._is_input_ended:
+            return
+        self._reading_request = IncomingRequest(self.peer)
         self._body_bytes = 0
+        self._start_timer(
+            self._listener.limits().head_timeout_s, self._refuse_late_head
+        )
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the request target."""
@@ -153,27 +184,28 @@
             request.headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
-        """Queue the request, whose body may not be complete yet."""
+        """Add the request, whose body may not be complete yet."""
         request = self._reading_request
-        if request is None or self._is_refused:
+        if request is None or self._is_input_ended:
             return
         self._cancel_timer()
         request.method = self._parser.get_method().decode('ascii')
-        limits = self._listener.limits()
-        self._check_head_size(_head_size(request))
-        if request.body_bytes > limits.max_body_bytes:
+        if self._parser.should_upgrade():
             self._refuse(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f'body of {request.body_bytes} bytes exceeds the limit',
+                HTTPStatus.BAD_REQUEST, 'protocol upgrade not supported'
             )
+        request.head_bytes = _size_of_head(request)
+        self._check_head_size(request.head_bytes)
+        self._check_body_size(request.body_bytes)
+        if self._is_input_ended:
             return
-        if self._is_refused:
-            return
+        slot = self._order.append(request)
+        request.answer_to(slot)
         if not self._parser.should_keep_alive():
-            self.closes_after_answer = True
-        self._queued_requests.append(request)
-        if self._worker is None:
-            self._worker = asyncio.create_task(self._serve_queue())
+            # What follows such a request is not a request.
+            slot.closes_connection = True
+            self._is_input_ended = True
+        self._start_due()
 
     def on_body(self, chunk: bytes) -> None:
         """Buffer a chunk and pause reading while the buffer is full."""
@@ -181,23 +213,25 @@
         if request is None:
             return
         self._body_bytes += len(chunk)
-        if self._body_bytes > self._listener.limits().max_body_bytes:
-            self._refuse(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f'body exceeds the limit after {self._body_bytes} bytes',
-            )
-            return
-        request.feed(chunk)
-        if request.buffered_bytes > _PAUSE_READING_BYTES:
-            self._pause_reading()
+        self._check_body_size(self._body_bytes)
+        if self._reading_request is request:
+            request.feed(chunk)
+            self._update_reading()
 
     def on_message_complete(self) -> None:
-        """Mark the request as complete."""
-        if self._reading_request is not None:
-            self._reading_request.is_complete = True
-            self._reading_request.wake()
+        """Mark the request as complete, so that it may overlap others."""
+        request = self._reading_request
         self._reading_request = None
         self._head_bytes = 0
+        last = self._order.last
+        if request is None or last is None:
+            return
+        request.is_complete = True
+        request.wake()
+        if last.request is request:
+            last.may_overlap = self._listener.may_overlap(request)
+            self._start_due()
+        self._update_reading()
 
     def write(self, payload: bytes) -> None:
         """Write data unless the connection is closing."""
@@ -214,36 +248,74 @@
         self._transport.abort()
 
     def resume_reading(self) -> None:
-        """Resume reading if it is paused."""
-        if self._is_reading_paused and not self._transport.is_closing():
-            self._is_reading_paused = False
-            self._transport.resume_reading()
+        """Resume reading if it is paused and no limit requires it."""
+        self._update_reading()
+
+    def is_last(self, slot: AnswerSlot) -> bool:
+        """Return whether the connection closes after this answer.
+
+        When connections are to close, that is the answer to the last request
+        that was started. Those behind it are dropped, and their caller sends
+        them again.
+        """
+        if slot.closes_connection or not self._listener.limits().is_closing:
+            return slot.closes_connection
+        if self._order.has_started_behind(slot):
+            return False
+        slot.closes_connection = True
+        self._is_input_ended = True
+        if self._reading_request is not slot.request:
+            self._reading_request = None
+        self._order.remove_unstarted()
+        return True
+
+    def slot_ended(self, slot: AnswerSlot) -> None:
+        """Start what may be served next, or close after a last answer."""
+        first = self._order.first
+        if first is not None and first.has_ended:
+            self._close_after(first)
+            return
+        self._start_due()
+        self._update_reading()
+        if self._order.first is None and self._reading_request is None:
+            self._start_timer(
+                self._listener.limits().idle_timeout_s, self.close_if_idle
+            )
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
-        busy = (
-            self._serving_request
-            or self._reading_request
-            or self._queued_requests
-        )
-        if not busy and not self._head_bytes:
+        is_busy = self._order.first or self._reading_request
+        if not is_busy and not self._head_bytes:
             self._transport.close()
 
-    async def _serve_queue(self) -> None:
-        while self._queued_requests:
-            self._serving_request = self._queued_requests.popleft()
-            if self._listener.limits().is_closing:
-                self.closes_after_answer = True
-            await self._serve(self._serving_request)
-            self._serving_request = None
-            if self.closes_after_answer or self._is_refused:
-                break
-        self._worker = None
-        if self.closes_after_answer:
-            self._close_gracefully()
-        elif not self._transport.is_closing() and self._reading_request is None:
-            idle_s = self._listener.limits().idle_timeout_s
-            self._start_timer(idle_s, self._close_idle)
+    def _start_due(self) -> None:
+        """Start the requests that need not wait for an earlier answer."""
+        for started, slot in enumerate(self._order):
+            if not slot.is_started:
+                if not self._may_start(slot, started):
+                    return
+                self._start(slot)
+            if not slot.may_overlap:
+                return
+
+    def _may_start(self, slot: AnswerSlot, started: int) -> bool:
+        if not started:
+            return True
+        return (
+            slot.may_overlap
+            and started < self._listener.limits().max_in_progress
+            and self._listener.may_start_early(self._order)
+        )
+
+    def _start(self, slot: AnswerSlot) -> None:
+        slot.is_started = True
+        if self._order.first is not slot:
+            self._has_overlapped = True
+            self._listener.overlapped += 1
+        if slot.request is not None:
+            task = asyncio.create_task(self._serve(slot.request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, request: IncomingRequest) -> None:
         try:
@@ -252,7 +324,7 @@
             request.abort()
         except Exception:
             _log.exception(
-                'Request handler failed; resetting the connection.',
+                'Request handler failed; closing the connection.',
                 peer=self.peer,
             )
             request.abort()
@@ -260,15 +332,14 @@
             request.abort()
 
     def _mark_lost(self) -> None:
-        for request in (
-            self._serving_request,
-            self._reading_request,
-            *self._queued_requests,
-        ):
+        requests = [slot.request for slot in self._order if not slot.has_ended]
+        requests.append(self._reading_request)
+        self._reading_request = None
+        for request in requests:
             if request is not None and not request.disconnected.done():
                 request.disconnected.set_result(None)
                 request.wake()
-        self._queued_requests.clear()
+        self._order.clear()
 
     @property
     def _is_in_head(self) -> bool:
@@ -281,26 +352,62 @@
                 status, f'head of {head_bytes} bytes exceeds the limit'
             )
 
+    def _check_body_size(self, body_bytes: int) -> None:
+        if body_bytes > self._listener.limits().max_body_bytes:
+            self._refuse(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f'body of {body_bytes} bytes exceeds the limit',
+            )
+
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
-        if self._is_refused or self._transport.is_closing():
+        """Refuse what is being read; the answers before it go first."""
+        has_closing_request = self._is_input_ended and not self._reading_request
+        if has_closing_request or self._is_refused:
+            return
+        if self._transport.is_closing():
             return
         self._is_refused = True
+        self._is_input_ended = True
         _log.info(
             'Request refused; closing the connection.',
             peer=self.peer,
             status=int(status),
             reason=reason,
         )
-        if self._serving_request is not None or self._queued_requests:
-            # The peer would take the refusal for the answer to an earlier
-            # request.
+        if self._is_reading_started():
+            # Its handler would answer a second time.
             self._transport.abort()
             return
-        self.write(
+        slot = self._order.append(None)
+        slot.closes_connection = True
+        slot.is_started = True
+        slot.write(
             status_line(status)
             + b'content-length: 0\r\nconnection: close\r\n\r\n',
         )
+        slot.end()
+
+    def _is_reading_started(self) -> bool:
+        """Drop the request that is being read, unless it was started."""
+        request, last = self._reading_request, self._order.last
+        if request is None or last is None or last.request is not request:
+            self._reading_request = None
+            return False
+        if last.is_started:
+            return True
+        self._reading_request = None
+        self._order.remove_last()
+        return False
+
+    def _close_after(self, slot: AnswerSlot) -> None:
+        """Close after the last answer, or after one that broke off."""
+        self._is_input_ended = True
+        if slot.is_broken and not self._has_overlapped:
+            self._transport.abort()
+            return
+        # A reset could discard earlier answers that the peer has not read.
         self._close_gracefully()
+        self._mark_lost()
 
     def _close_gracefully(self) -> None:
         """Half-close first, since a reset could discard the answer."""
@@ -308,23 +415,49 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self.resume_reading()
+        self._update_reading()
         loop = asyncio.get_running_loop()
         loop.call_later(_LINGER_S, self._transport.abort)
 
-    def _pause_reading(self) -> None:
-        if not self._is_reading_paused and not self._transport.is_closing():
-            self._is_reading_paused = True
+    def _update_reading(self) -> None:
+        """Pause or resume reading, by what has been read and not started."""
+        is_full = self._is_full()
+        if is_full == self._is_reading_paused or self._transport.is_closing():
+            return
+        self._is_reading_paused = is_full
+        if is_full:
             self._transport.pause_reading()
+            self._poll_hangup()
+        else:
+            self._transport.resume_reading()
+
+    def _is_full(self) -> bool:
+        reading = self._reading_request
+        if (
+            reading is not None
+            and reading.buffered_bytes > _PAUSE_READING_BYTES
+        ):
+            return True
+        return self._order.unstarted_bytes > _PAUSE_READING_BYTES
+
+    def _poll_hangup(self) -> None:
+        """Notice that the peer has gone while nothing is read from it."""
+        if not self._is_reading_paused or self._transport.is_closing():
+            return
+        poll = select.poll()
+        socket = self._transport.get_extra_info('socket')
+        poll.register(socket.fileno(), _HANGUP_EVENTS)
+        if poll.poll(0):
+            self._transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(_HANGUP_POLL_S, self._poll_hangup)
 
     def _refuse_late_head(self) -> None:
         self._refuse(
             HTTPStatus.REQUEST_TIMEOUT, 'head not received within the timeout'
         )
 
-    def _close_idle(self) -> None:
-        self.close_if_idle()
-
     def _start_timer(
         self, after_s: float, callback: Callable[[], None]
     ) -> None:
@@ -338,6 +471,6 @@
             self._timer = None
 
 
-def _head_size(request: IncomingRequest) -> int:
+def _size_of_head(request: IncomingRequest) -> int:
     fields = sum(len(name) + len(text) for name, text in request.headers)
     return fields + len(request.target)
