Bound bytes that are no answer or request, and answers without end

Cause: only the head of an answer was bounded. The size of a chunk, trailers and what an abandoned connection still received were not, in requests neither. An owner read the answer to a disconnected caller for as long as the server sent, with its slot held; and a caller's deadline in the middle of a streamed answer wrote the head of a 504 into the body. Change: 256 KiB between two parts of a body, and after the reader left, close the connection; in requests the limit of heads applies. A node ends the answer to another node at the deadline. A streamed answer that reaches it is cut.

--- a/carobmoor/mesh/_owner_request.py
+++ b/carobmoor/mesh/_owner_request.py
@@ -1,7 +1,7 @@
 """A request as handed to the node that owns the backend server."""
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Coroutine, Sequence
 from typing import Any, NamedTuple, Protocol, TypeVar
 
 from carobmoor.mesh._hop import Hop
@@ -44,7 +44,7 @@
     status: int
     headers: HeaderList
 
-    def chunks(self) -> AsyncIterator[bytes]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Return the body; raises `AnswerIncomplete` if it breaks off."""
 
 
--- a/carobmoor/mesh/_peer_requests.py
+++ b/carobmoor/mesh/_peer_requests.py
@@ -1,5 +1,7 @@
 """Serves requests that other nodes send to this node."""
 
+import asyncio
+import contextlib
 import time
 from typing import Final
 
@@ -30,6 +32,7 @@
 _MARKS_TARGET: Final = MARKS_TARGET.encode()
 _UNAVAILABLE: Final = 503
 _OK: Final = 200
+_MS_PER_S: Final = 1000
 _NOT_FOUND: Final = 404
 _OUTCOME: Final = OUTCOME_HEADER.encode()
 _LENGTH: Final = b'content-length'
@@ -65,13 +68,16 @@
         _body_of(request),
         request.disconnected,
     )
+    arrived_s = time.monotonic()
     ran = await run_on_backend(node, owner_request)
     if isinstance(ran, Err):
         _refuse(node, request, ran.err_value, request_id)
         return
+    remaining_s = hop.remaining_ms / _MS_PER_S - (time.monotonic() - arrived_s)
     try:
-        await _send_answer(node, request, ran.ok_value)
-    except (AnswerIncomplete, CallerLost):
+        async with asyncio.timeout(max(0, remaining_s)):
+            await _send_answer(node, request, ran.ok_value)
+    except (AnswerIncomplete, CallerLost, TimeoutError):
         request.abort()
 
 
@@ -99,11 +105,12 @@
     ]
     headers.append(_load_of(node))
     request.start(answer.status, headers, int(length) if length else None)
-    async for chunk in answer.chunks():
-        # Read on after the caller disconnected: a request that may run only
-        # once must not be cut.
-        if not request.disconnected.done():
-            await request.write(chunk)
+    async with contextlib.aclosing(answer.chunks()) as chunks:
+        async for chunk in chunks:
+            # Read on after the caller disconnected: a request that may run
+            # only once must not be cut.
+            if not request.disconnected.done():
+                await request.write(chunk)
     request.end()
 
 
--- a/carobmoor/mesh/_relay.py
+++ b/carobmoor/mesh/_relay.py
@@ -1,6 +1,8 @@
 """Relays an owner's answer to the caller."""
 
+import contextlib
 import time
+from collections.abc import AsyncIterator
 from typing import Final
 
 from result import Err, Result
@@ -101,20 +103,26 @@
         for header in answer.headers
         if header[0] not in {_LENGTH, node.names.load}
     ]
+    async with contextlib.aclosing(answer.chunks()) as chunks:
+        start, is_whole = await _read_start(chunks)
+        if is_whole:
+            request.respond(answer.status, headers, start)
+            return
+        length = get_header(answer.headers, _LENGTH)
+        request.start(answer.status, headers, int(length) if length else None)
+        await request.write(start)
+        async for chunk in chunks:
+            await request.write(chunk)
+    request.end()
+
+
+async def _read_start(chunks: AsyncIterator[bytes]) -> tuple[bytes, bool]:
+    """Return up to about 64 KiB of a body, and whether that is all of it."""
     parts: list[bytes] = []
     buffered_bytes = 0
-    chunks = answer.chunks()
     async for chunk in chunks:
         parts.append(chunk)
         buffered_bytes += len(chunk)
         if buffered_bytes > _MAX_BUFFERED_BYTES:
-            break
-    else:
-        request.respond(answer.status, headers, b''.join(parts))
-        return
-    length = get_header(answer.headers, _LENGTH)
-    request.start(answer.status, headers, int(length) if length else None)
-    await request.write(b''.join(parts))
-    async for next_chunk in chunks:
-        await request.write(next_chunk)
-    request.end()
+            return b''.join(parts), False
+    return b''.join(parts), True
--- a/carobmoor/mesh/_responses.py
+++ b/carobmoor/mesh/_responses.py
@@ -25,6 +25,11 @@
     request = pending.request
     if request.has_ended:
         return
+    if request.has_started:
+        # A second head would be read as a part of the body.
+        record_end(node, pending, int(HTTPStatus.GATEWAY_TIMEOUT))
+        request.abort()
+        return
     status = _status_of(pending, failure)
     _log.info(
         'Request failed.',
--- /dev/null
+++ b/carobmoor/mesh/tests/test_endless_answers.py
@@ -0,0 +1,58 @@
+"""A backend server that never ends its answer holds nothing for long."""
+
+import asyncio
+
+from nose2.tools import params
+
+from carobmoor.mesh.tests.fixtures import Mesh, running_mesh
+from carobmoor.mesh.tests.scripted import NAMES
+from carobmoor.transport import AnswerIncomplete, IncomingRequest, get_header
+
+DEADLINE_MS = 400
+# Far beyond the deadline, below the test's own time limit.
+RELEASE_S = 1.5
+TEST_TIMEOUT_S = 20
+PIECE = b'x' * 8192
+
+
+async def answer_without_end(request: IncomingRequest) -> None:
+    """Send a body until the caller closes the connection."""
+    request_id = get_header(request.headers, NAMES.request_id).encode()
+    headers = ((NAMES.request_id, request_id), (NAMES.signature, b'signed'))
+    request.start(200, headers, None)
+    while not request.disconnected.done():
+        await request.write(PIECE)
+        await asyncio.sleep(0.002)
+
+
+@params('/get/1', '/post/1', '/upload/1')
+def test_endless_answer_releases_slot(target):
+    """At its deadline the caller's answer ends, visibly incomplete.
+
+    The server's slot is free soon after, on the caller's node and on others.
+    """
+    asyncio.run(_ask_for_endless_answer(target))
+
+
+async def _ask_for_endless_answer(target: str) -> None:
+    async with (
+        asyncio.timeout(TEST_TIMEOUT_S),
+        running_mesh(answer_without_end, answer_without_end) as mesh,
+    ):
+        for number in range(4):
+            await _ask(mesh, target, f'request-{number}')
+        await asyncio.sleep(RELEASE_S)
+        for pair in mesh.nodes:
+            assert not pair.node.gate.state.in_flight_total
+            assert not pair.node.unfinished_requests
+
+
+async def _ask(mesh: Mesh, target: str, request_id: str) -> None:
+    body = b'' if target.startswith('/get') else b'x'
+    try:
+        answer = await mesh.ask(
+            mesh.nodes[0], target, body, DEADLINE_MS, request_id
+        )
+    except AnswerIncomplete:
+        return
+    raise AssertionError(f'{len(answer.body)} bytes passed for a whole answer')
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -17,7 +17,10 @@
 from carobmoor.transport._steps import Step
 
 _PAUSE_READING_BYTES: Final = 262144
-_MAX_HEAD_BYTES: Final = 262144
+# Received between two parts of a body: heads, chunk sizes, trailers.
+_MAX_BYTES_WITHOUT_BODY: Final = 262144
+# Received after the reader has left, until the peer closes.
+_MAX_ABANDONED_BYTES: Final = 262144
 # How long an abandoned connection waits for the peer to close it.
 _LINGER_S: Final = 10
 _LAST_INFORMATIONAL_STATUS: Final = 199
@@ -59,7 +62,8 @@
         self._buffered_bytes = 0
         self._is_reading_paused = False
         self._peer_keeps_alive = False
-        self._head_bytes = 0
+        self._bytes_without_body = 0
+        self._abandoned_bytes = 0
         self._is_bodiless = False
         # Without a length or chunks, the body ends when the peer closes.
         self._ends_with_close = False
@@ -125,6 +129,7 @@
     def data_received(self, received: bytes) -> None:
         """Parse received data; close if no request is pending."""
         if self._is_abandoned:
+            self._check_abandoned(len(received))
             return
         if self.is_answer_complete or self.step is Step.BEFORE_FIRST_BYTE:
             self.close(
@@ -137,7 +142,7 @@
             self.close(f'malformed answer: {error}')
         except httptools.HttpParserUpgrade:
             self.close('the peer switched protocols, which is not supported')
-        self._check_head_size(len(received))
+        self._check_progress(len(received))
 
     def eof_received(self) -> None:
         """End a body without a length when the peer closes."""
@@ -205,6 +210,7 @@
             return
         self._chunks.append(chunk)
         self._buffered_bytes += len(chunk)
+        self._bytes_without_body = -len(chunk)
         if self._buffered_bytes > _PAUSE_READING_BYTES:
             self._pause_reading()
         self._wake()
@@ -222,7 +228,7 @@
         """Reset the state for the next request."""
         self.step = Step.BEFORE_FIRST_BYTE
         self.is_answer_complete = False
-        self._head_bytes = 0
+        self._bytes_without_body = 0
         self._is_bodiless = False
         self._ends_with_close = False
         self._is_skipping = False
@@ -287,11 +293,18 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
-    def _check_head_size(self, received_bytes: int) -> None:
-        if self._head is None:
-            self._head_bytes += received_bytes
-            if self._head_bytes > _MAX_HEAD_BYTES:
-                self.close(f'answer head exceeds {_MAX_HEAD_BYTES} bytes')
+    def _check_progress(self, received_bytes: int) -> None:
+        """Close if the peer sends much that is no part of a body."""
+        self._bytes_without_body += received_bytes
+        if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
+            self.close(
+                f'received {self._bytes_without_body} bytes without a body'
+            )
+
+    def _check_abandoned(self, received_bytes: int) -> None:
+        self._abandoned_bytes += received_bytes
+        if self._abandoned_bytes > _MAX_ABANDONED_BYTES:
+            self.close('the peer goes on sending after the request ended')
 
     def abandon(self, reason: str) -> None:
         """Half-close the connection and wait for the peer to close it.
--- a/carobmoor/transport/_exchange.py
+++ b/carobmoor/transport/_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Final
 
 from result import Err, Ok, Result
@@ -61,7 +61,7 @@
     async def chunks(
         self,
         floor: ProgressFloor | None = None,
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks, with backpressure on the sender.
 
         Raises `AnswerIncomplete` when the connection is lost before the end or
--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -108,6 +108,8 @@
         self._writable: asyncio.Future[None] | None = None
         self._head_bytes = 0
         self._body_bytes = 0
+        # Received in a body since its last chunk: chunk sizes and trailers.
+        self._bytes_without_body = 0
         # No more requests are taken: one was refused or closes the connection.
         self._is_input_ended = False
         self._is_refused = False
@@ -140,6 +142,9 @@
             return
         if self._is_in_head:
             self._check_head_size(self._head_bytes)
+        else:
+            self._bytes_without_body += len(received)
+            self._check_head_size(self._bytes_without_body)
 
     def eof_received(self) -> None:
         """Treat a half-close by the peer as a lost connection."""
@@ -168,6 +173,7 @@
             return
         self._reading_request = IncomingRequest(self.peer)
         self._body_bytes = 0
+        self._bytes_without_body = 0
         self._start_timer(
             self._listener.limits().head_timeout_s, self._refuse_late_head
         )
@@ -213,6 +219,7 @@
         if request is None:
             return
         self._body_bytes += len(chunk)
+        self._bytes_without_body = -len(chunk)
         self._check_body_size(self._body_bytes)
         if self._reading_request is request:
             request.feed(chunk)
