Ask likely owners for their load right before each choice

A search waited 264 ms at its owner in one of ten cases, with a third of the slots in use. Sending every change to every node of the region made most of the bytes between availability zones and grew with the square of the region. Change: a node asks four likely owners of its region by datagram and waits 8 ms at most, less when one in its zone is idle. An old load counts as an expected delay, an unanswered query as the time since it was sent. Changes are no longer pushed; load updates at intervals stay as heartbeats, 40 datagrams a second and node at most. An owner declines also when no slot is free, three times a request. Other regions read a node's first record from the store. Pages of 500 rows. Also: the limit of pipelined requests is a checked setting, with two metrics.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 from bench.configuration import measure_configuration
 from bench.floods import measure_floods
 from bench.hop import measure_hop
+from bench.load_patterns import measure_load_patterns
 from bench.membership import measure_membership
 from bench.quarantine import measure_quarantine
 from bench.retries import measure_retries
@@ -20,6 +21,7 @@
         'admission': measure_admission,
         'floods': measure_floods,
         'hop': measure_hop,
+        'load_patterns': measure_load_patterns,
         'membership': measure_membership,
         'configuration': measure_configuration,
         'quarantine': measure_quarantine,
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -1,7 +1,7 @@
 """One attempt of a request: choosing an owner and sending to it."""
 
 import time
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncGenerator, Mapping, Sequence
 from typing import Final
 
 import xxhash
@@ -9,6 +9,7 @@
 
 from carobmoor.mesh._choose import RequestProfile, choose
 from carobmoor.mesh._datagrams import LOAD_HEADER, Load, decode_datagram
+from carobmoor.mesh._fresh_loads import refresh_loads
 from carobmoor.mesh._hop import HOP_HEADER, Hop, encode_hop
 from carobmoor.mesh._owner import run_on_backend
 from carobmoor.mesh._owner_request import (
@@ -45,6 +46,8 @@
 # How long a node that accepted no connection is avoided.
 _AVOID_PERIOD_S: Final = 1.0
 _CONNECT_TIMEOUT_S: Final = 0.4
+# Declines of one request. More would delay it when every server is busy.
+_MAX_DECLINES: Final = 3
 # Estimated size of an answer and of the headers in both directions.
 _OVERHEAD_BYTES: Final = 1500
 # Cost of traffic to other regions, and to other zones of the own region,
@@ -67,15 +70,16 @@
         ]
         self._answer = answer
 
-    def chunks(self) -> AsyncIterator[bytes]:
+    def chunks(self) -> AsyncGenerator[bytes, None]:
         """Return the body."""
         return self._answer.chunks()
 
 
-def choose_peer(node: MeshNode, pending: PendingRequest) -> Peer | None:
+async def choose_peer(node: MeshNode, pending: PendingRequest) -> Peer | None:
     """Return the owner for the next attempt; `None` if none is left.
 
-    Stores the inputs of the choice in the request, for the log.
+    Asks likely owners for their load first. Stores the inputs of the choice
+    in the request, for the log.
     """
     size_bytes = max(0, pending.body.length_bytes) + _OVERHEAD_BYTES
     size_kb = size_bytes / _BYTES_PER_KB
@@ -86,8 +90,9 @@
         size_kb * _SAME_REGION_MS_PER_KB,
         pending.tried,
     )
-    now_s = time.monotonic()
     candidates = node.peers.for_service(pending.service)
+    await refresh_loads(node, profile, candidates)
+    now_s = time.monotonic()
     for peer in candidates:
         if peer.is_self:
             peer.record_load(node.load(now_s), now_s)
@@ -151,6 +156,8 @@
     It may if another owner in the region could take it instead. Streamed
     bodies can't be sent again.
     """
+    if len(pending.declined) >= _MAX_DECLINES:
+        return False
     if peer.address in pending.declined or pending.body.stream is not None:
         return False
     return any(
--- a/carobmoor/mesh/_choose.py
+++ b/carobmoor/mesh/_choose.py
@@ -1,10 +1,12 @@
 """Choice of the backend server with the earliest predicted finish."""
 
+import heapq
 import random
 from collections.abc import Collection, Sequence
 from typing import Final, NamedTuple
 
 from carobmoor.mesh._peers import Peer
+from carobmoor.routing import OTHER_REGION, SAME_ZONE
 from carobmoor.transport import Address
 
 _TYPICAL_PERCENT: Final = 100
@@ -16,6 +18,14 @@
 # equal candidates share the requests.
 _NOISE_MS: Final = 2
 _MIN_SUCCESS_RATE: Final = 0.05
+# How many candidates are asked for their load, and the random delay with
+# which they are selected.
+_LIKELY_COUNT: Final = 4
+_LIKELY_NOISE_MS: Final = 12
+# Expected delay at a server of unknown load, as a share of the typical time.
+_UNKNOWN_SHARE: Final = 0.5
+# Slowdown relative to the baseline up to which a server is not slow.
+_STEADY_RATIO: Final = 1.1
 
 
 class RequestProfile(NamedTuple):
@@ -57,6 +67,42 @@
     return best
 
 
+def find_likely(
+    candidates: Sequence[Peer],
+    profile: RequestProfile,
+    now_s: float,
+    rng: random.Random,
+) -> list[Peer]:
+    """Return the few candidates of the region that the choice may fall on.
+
+    The random part exceeds that of the choice, so that candidates with an
+    outdated bad load are among them at times.
+    """
+    by_cost = {
+        peer.address: predict_ms(peer, profile, now_s)
+        + _LIKELY_NOISE_MS * rng.random()
+        for peer in candidates
+        if peer.distance != OTHER_REGION
+        and peer.address not in profile.tried
+        and peer.avoided_until_s <= now_s
+    }
+    likely = heapq.nsmallest(_LIKELY_COUNT, by_cost, key=by_cost.__getitem__)
+    return [
+        peer
+        for peer in candidates
+        if peer.address in likely and not peer.is_self
+    ]
+
+
+def is_idle(peer: Peer) -> bool:
+    """Return whether a server of the same zone would start a request now."""
+    load = peer.load
+    if load is None or peer.distance != SAME_ZONE:
+        return False
+    is_steady = load.slowdown_percent <= load.baseline_percent * _STEADY_RATIO
+    return is_steady and _outstanding(peer) < peer.concurrency_limit
+
+
 def predict_ms(peer: Peer, profile: RequestProfile, now_s: float) -> float:
     """Predict the cost of a request on a peer, as a delay.
 
@@ -79,6 +125,8 @@
         + queue_ms
         + base_ms
         + failure_cost_ms
+        + _silence_ms(peer, now_s)
+        + _uncertainty_ms(peer, profile.typical_ms, now_s)
         + _slowdown_delay_ms(peer, profile.typical_ms, now_s)
     )
 
@@ -114,6 +162,24 @@
     return unexpired_share * min(typical_ms * excess_ratio, period_ms)
 
 
+def _uncertainty_ms(peer: Peer, typical_ms: float, now_s: float) -> float:
+    """Return the expected delay by what the last load report does not say.
+
+    It grows with the age of the report, up to that of a server without one.
+    """
+    load = peer.load
+    age_share = float(1)
+    if load is not None:
+        age_ms = (now_s - peer.load_received_at_s) * _MS_PER_S
+        age_share = min(1, age_ms / (2 * max(1, load.slow_period_ms)))
+    return age_share * _UNKNOWN_SHARE * typical_ms
+
+
+def _silence_ms(peer: Peer, now_s: float) -> float:
+    """Return how long a query for the load has been unanswered."""
+    return max(0, now_s - peer.silent_since_s) * _MS_PER_S
+
+
 def _success_rate(peer: Peer, now_s: float) -> float:
     own = peer.success.rate_at(now_s)
     load = peer.load
--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -15,9 +15,9 @@
     DecodeAnnouncement,
     serve_readiness,
 )
+from carobmoor.mesh._follow_slowdown import follow_slowdown
 from carobmoor.mesh._forward import is_idempotent, serve_caller
 from carobmoor.mesh._gossip import GossipProtocol
-from carobmoor.mesh._load_publisher import publish_load
 from carobmoor.mesh._messages import MeshSettings
 from carobmoor.mesh._own_row import OwnRow
 from carobmoor.mesh._peer_requests import serve_peer
@@ -61,6 +61,12 @@
             node.limits,
             functools.partial(is_idempotent, node),
         )
+        node.metrics.overlapped_requests.set_function(
+            lambda: self.callers.overlapped
+        )
+        node.metrics.held_answer_bytes.set_function(
+            lambda: self.callers.held.total_bytes
+        )
         self.nodes = Listener(
             functools.partial(serve_peer, node),
             ServingLimits,
@@ -131,7 +137,7 @@
         parts.follower.run(),
         parts.own_row.run(),
         parts.gossip.run(),
-        publish_load(node, node.slowdown_monitor, parts.gossip),
+        follow_slowdown(node),
         node.gate.expire_in_time(),
         node.quarantine.mark_exchange.run(),
         monitor_pauses(node.pauses),
--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -69,7 +69,11 @@
     concurrency_limit: int = 0
 
 
-Datagram = Hello | Load
+class Query(msgspec.Struct, array_like=True, frozen=True, tag='q'):
+    """Asks for the receiver's load."""
+
+
+Datagram = Hello | Load | Query
 
 _decoder = msgspec.json.Decoder(Datagram)
 _record_decoder = msgspec.json.Decoder(NodeRecord)
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -148,7 +148,7 @@
     """
     until_s = time.monotonic() + pending.remaining_s * _WAIT_SHARE
     while True:
-        peer = choose_peer(node, pending)
+        peer = await choose_peer(node, pending)
         if peer is not None or pending.tried or time.monotonic() > until_s:
             return peer
         await asyncio.sleep(_POLL_S)
--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -9,9 +9,11 @@
     Hello,
     Load,
     NodeRecord,
+    Query,
     decode_datagram,
     encode_datagram,
 )
+from carobmoor.mesh._fresh_loads import start_answer
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._state import MeshNode
 from carobmoor.routing import OTHER_REGION
@@ -20,10 +22,13 @@
 _US_PER_S: Final = 1_000_000
 _MS_PER_S: Final = 1000
 _ROUND_TRIP_SMOOTHING: Final = 0.2
-# A node of the region counts as down when it was silent for this long.
-_MAX_SILENCE_S: Final = 0.8
-# Longest interval between two load updates of a node.
-_LOAD_INTERVAL_S: Final = 0.25
+# A node sends its load to each node of its region at intervals, and this many
+# datagrams per second at most, so that its traffic is independent of the size.
+_MIN_LOAD_INTERVAL_S: Final = 0.25
+_MAX_LOADS_PER_S: Final = 40
+# A node of the region counts as down when it was silent for that many
+# intervals.
+_MAX_SILENT_INTERVALS: Final = 3.2
 # Traffic to other regions is expensive: one node of them gets a hello per
 # interval, in turn, so that what a node sends there does not grow with the
 # fleet.
@@ -49,6 +54,7 @@
         self._load_sent_at_s = float(0)
         self._sent_version = 0
         self._other_region_hello_at_s = float(0)
+        node.peers.send = self._send
 
     async def open(self) -> None:
         """Bind the datagram socket."""
@@ -75,6 +81,8 @@
             self._handle_hello(datagram)
         elif isinstance(datagram, Load):
             self._handle_load(datagram, sender[0])
+        elif isinstance(datagram, Query):
+            start_answer(self._node, sender[0])
 
     async def run(self) -> None:
         """Send load updates and hellos when due, until cancelled."""
@@ -85,11 +93,16 @@
     def tick(self, now_s: float) -> None:
         """Send the load updates and hellos that are due at `now_s`."""
         is_newer = self._node.version != self._sent_version
-        if is_newer or now_s - self._load_sent_at_s >= _LOAD_INTERVAL_S:
+        region = [
+            peer
+            for peer in self._node.peers
+            if not peer.is_self and peer.distance != OTHER_REGION
+        ]
+        interval_s = load_interval_s(len(region))
+        if is_newer or now_s - self._load_sent_at_s >= interval_s:
             self.send_load()
-        for peer in self._node.peers:
-            if not peer.is_self and peer.distance != OTHER_REGION:
-                self._check_silence(peer, now_s)
+        for peer in region:
+            self._check_silence(peer, now_s, _MAX_SILENT_INTERVALS * interval_s)
         if now_s - self._other_region_hello_at_s >= _OTHER_REGION_INTERVAL_S:
             self._other_region_hello_at_s = now_s
             next_peer = _next_in_other_region(self._node.peers)
@@ -125,16 +138,19 @@
     def notify_change(self) -> None:
         """Send the changed record of this node to all nodes at once.
 
-        Nodes of other regions are not asked to reply.
+        Nodes of other regions are not asked to reply. They learn the first
+        record from the store instead, since all nodes may start together.
         """
+        is_first = not self._node.revision
         self._node.revision += 1
         own_peer = self._node.peers.find_by_ip(self._node.settings.ip)
         if own_peer is not None:
             own_peer.record = self._node.record()
         for peer in self._node.peers:
-            if not peer.is_self:
+            is_remote = peer.distance == OTHER_REGION
+            if not peer.is_self and not (is_first and is_remote):
                 peer.unanswered_hellos = 0
-                self.send_hello(peer, wants_reply=peer.distance != OTHER_REGION)
+                self.send_hello(peer, wants_reply=not is_remote)
 
     def send_load(self) -> None:
         """Send the load of the own server to the nodes of the region."""
@@ -151,10 +167,12 @@
             ):
                 self._send(peer, content)
 
-    def _check_silence(self, peer: Peer, now_s: float) -> None:
-        if now_s - peer.last_update_s < _MAX_SILENCE_S:
+    def _check_silence(
+        self, peer: Peer, now_s: float, max_silence_s: float
+    ) -> None:
+        if now_s - peer.last_update_s < max_silence_s:
             return
-        peer.avoided_until_s = now_s + _MAX_SILENCE_S
+        peer.avoided_until_s = now_s + max_silence_s
         wait_s = min(
             _MAX_HELLO_INTERVAL_S,
             _FIRST_HELLO_INTERVAL_S * 2 ** min(peer.unanswered_hellos, 10),
@@ -207,6 +225,11 @@
             self._transport.sendto(content, (peer.record.ip, port))
 
 
+def load_interval_s(nodes: int) -> float:
+    """Return the interval of load updates to that many nodes."""
+    return max(_MIN_LOAD_INTERVAL_S, nodes / _MAX_LOADS_PER_S)
+
+
 def _next_in_other_region(peers: Iterable[Peer]) -> Peer | None:
     """Return the node of another region with the longest silence, if any.
 
--- a/carobmoor/mesh/_hedge.py
+++ b/carobmoor/mesh/_hedge.py
@@ -60,7 +60,9 @@
 ) -> AttemptOutcome:
     first, peer = next(iter(attempts.items()))
     await _wait_until_stuck(node, pending, peer, first)
-    hedge_peer = None if first.done() else _choose_hedge(node, pending)
+    hedge_peer = None
+    if not first.done():
+        hedge_peer = await _choose_hedge(node, pending, first)
     if hedge_peer is not None:
         attempts[asyncio.create_task(attempt(node, pending, hedge_peer))] = (
             hedge_peer
@@ -87,16 +89,21 @@
         await asyncio.wait((task,), timeout=wait_s)
 
 
-def _choose_hedge(node: MeshNode, pending: PendingRequest) -> Peer | None:
+async def _choose_hedge(
+    node: MeshNode,
+    pending: PendingRequest,
+    first: asyncio.Task[AttemptResult],
+) -> Peer | None:
     """Choose an owner with a free slot for a hedge, within the budget.
 
-    Records the hedge as sent. Returns `None` when none may be sent.
+    Records the hedge as sent. Returns `None` when none may be sent or when
+    the first attempt ends meanwhile.
     """
     if pending.sends + 1 >= pending.route.max_attempts:
         return None
-    hedge_peer = choose_peer(node, pending)
+    hedge_peer = await choose_peer(node, pending)
     now_s = time.monotonic()
-    if hedge_peer is None or hedge_peer.avoided_until_s > now_s:
+    if first.done() or hedge_peer is None or hedge_peer.avoided_until_s > now_s:
         return None
     load = hedge_peer.load
     outstanding = (
--- a/carobmoor/mesh/_messages.py
+++ b/carobmoor/mesh/_messages.py
@@ -59,6 +59,8 @@
     # The region of each availability zone.
     regions: Mapping[str, str]
     bounds: MeshBounds = MeshBounds()
+    # Idempotent requests of one connection that are served at the same time.
+    max_pipelined: int = 16
 
 
 class ServerStatus(enum.Enum):
--- a/carobmoor/mesh/_own_row.py
+++ b/carobmoor/mesh/_own_row.py
@@ -14,6 +14,7 @@
 from carobmoor.mesh._gossip import GossipProtocol
 from carobmoor.mesh._messages import Announcement, ServerStatus
 from carobmoor.mesh._state import MeshNode
+from carobmoor.routing import OTHER_REGION
 from carobmoor.store import Store, StoreFailure, StoreFault
 from carobmoor.telemetry import logger_for
 
@@ -170,7 +171,8 @@
         if peer is not None:
             # Its row may be outdated: it gets requests once it has answered.
             peer.avoided_until_s = time.monotonic() + _RETRY_S
-            self._gossip.send_hello(peer)
+            if peer.distance != OTHER_REGION:
+                self._gossip.send_hello(peer)
 
 
 def _restart_fields(record: NodeRecord) -> tuple[object, ...]:
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -1,8 +1,9 @@
 """Runs requests on the node's own backend server."""
 
 import asyncio
+import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -74,12 +75,13 @@
         self._answer = answer
         self._active = active
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Return the body, then release the slot."""
         is_whole = False
         try:
-            async for chunk in self._answer.chunks():
-                yield chunk
+            async with contextlib.aclosing(self._answer.chunks()) as chunks:
+                async for chunk in chunks:
+                    yield chunk
             is_whole = True
             await self._node.quarantine.record_answer(self._active.permit)
         finally:
@@ -121,7 +123,8 @@
     """Run a request on the node's own backend server, or refuse it.
 
     It is refused when this node doesn't own the service, when the node or its
-    server is leaving, when the server is slow and the request may be declined,
+    server is leaving, when it may be declined and would not start at once on a
+    server that is not slow,
     when quarantine stops it, when admission grants no slot in time, or when
     its caller is gone before it starts.
     """
@@ -129,7 +132,7 @@
     refusal = _ownership_refusal(node, owner_request)
     if refusal is not None:
         return Err(refusal)
-    if owner_request.hop.may_decline and await node.slowdown_monitor.is_slow():
+    if owner_request.hop.may_decline and await _is_late_start(node):
         return Err(_not_run(node, Code.SLOW))
     now_s = time.monotonic()
     remaining_s = owner_request.hop.remaining_ms / _MS_PER_S
@@ -151,6 +154,14 @@
     return ran
 
 
+async def _is_late_start(node: MeshNode) -> bool:
+    """Return whether a request would wait here or start on a slow server."""
+    admission = node.gate.state
+    if admission.in_flight_total >= admission.policy.slots:
+        return True
+    return await node.slowdown_monitor.is_slow()
+
+
 async def wait_after_pause(node: MeshNode) -> None:
     """Let the sockets be read if this process has just paused.
 
--- a/carobmoor/mesh/_peer_requests.py
+++ b/carobmoor/mesh/_peer_requests.py
@@ -68,14 +68,13 @@
         _body_of(request),
         request.disconnected,
     )
-    arrived_s = time.monotonic()
     ran = await run_on_backend(node, owner_request)
     if isinstance(ran, Err):
         _refuse(node, request, ran.err_value, request_id)
         return
-    remaining_s = hop.remaining_ms / _MS_PER_S - (time.monotonic() - arrived_s)
+    deadline_s = request.arrived_at_s + hop.remaining_ms / _MS_PER_S
     try:
-        async with asyncio.timeout(max(0, remaining_s)):
+        async with asyncio.timeout_at(deadline_s):
             await _send_answer(node, request, ran.ok_value)
     except (AnswerIncomplete, CallerLost, TimeoutError):
         request.abort()
--- a/carobmoor/mesh/_peers.py
+++ b/carobmoor/mesh/_peers.py
@@ -1,6 +1,7 @@
 """State that a node keeps about other nodes and their backend servers."""
 
-from collections.abc import Iterator
+import asyncio
+from collections.abc import Callable, Iterator
 from types import MappingProxyType
 from typing import Final
 
@@ -33,6 +34,13 @@
         self.last_update_s = float(0)
         # It is avoided until then, unless there is no other candidate.
         self.avoided_until_s = float(0)
+        # Done once the peer has answered the last query for its load.
+        self.query_answered: asyncio.Future[None] | None = None
+        self.queried_at_s: float = 0
+        # Since when a query has been unanswered; infinite if none is.
+        self.silent_since_s = float('inf')
+        # The answer to its last query.
+        self.answering: asyncio.Task[None] | None = None
         self.hello_sent_at_s = float(0)
         self.unanswered_hellos = 0
 
@@ -54,6 +62,9 @@
 
     def record_load(self, load: Load, now_s: float) -> None:
         """Record the load that the node reported."""
+        self.silent_since_s = float('inf')
+        if self.query_answered is not None and not self.query_answered.done():
+            self.query_answered.set_result(None)
         self.load = load
         self.load_received_at_s = now_s
         self.in_flight_at_report = self.in_flight
@@ -68,6 +79,8 @@
         self._region = region
         self._by_address: dict[Address, Peer] = {}
         self._by_ip: dict[str, Peer] = {}
+        # Sends a datagram to a node; set once the socket is open.
+        self.send: Callable[[Peer, bytes], None] = _drop
 
     def __iter__(self) -> Iterator[Peer]:
         """Iterate over a snapshot of the known nodes."""
@@ -116,6 +129,10 @@
         return SAME_REGION if region == self._region else OTHER_REGION
 
 
+def _drop(peer: Peer, content: bytes) -> None:
+    """Drop a datagram, since there is no socket yet."""
+
+
 def _is_same_start(known: NodeRecord, reported: NodeRecord) -> bool:
     return (
         known.incarnation == reported.incarnation
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -165,7 +165,10 @@
     def limits(self) -> ServingLimits:
         """Return the limits that currently apply to callers' requests."""
         if self.table is None:
-            return ServingLimits(is_closing=self.is_leaving)
+            return ServingLimits(
+                is_closing=self.is_leaving,
+                max_in_progress=self.settings.max_pipelined,
+            )
         limits = self.table.limits
         return ServingLimits(
             limits.max_header_bytes,
@@ -173,6 +176,7 @@
             limits.header_timeout_ms / _MS_PER_S,
             limits.idle_timeout_ms / _MS_PER_S,
             self.is_leaving,
+            self.settings.max_pipelined,
         )
 
     def health_path(self) -> str | None:
--- a/carobmoor/mesh/tests/test_other_region_gossip.py
+++ b/carobmoor/mesh/tests/test_other_region_gossip.py
@@ -61,5 +61,15 @@
     """A change goes to all nodes, and asks other regions for no reply."""
     gossip, sent = gossip_with(20)
     gossip.notify_change()
+    sent.by_ip.clear()
+    gossip.notify_change()
+    assert len(sent.by_ip) == 20
     assert set(sent.by_ip.values()) == {1}
     assert all(peer.unanswered_hellos == 0 for peer in gossip._node.peers)
+
+
+def test_first_record_stays_in_the_region():
+    """Other regions read it from the store, since all may start together."""
+    gossip, sent = gossip_with(20)
+    gossip.notify_change()
+    assert not sent.by_ip
--- a/carobmoor/platform/_settings.py
+++ b/carobmoor/platform/_settings.py
@@ -14,6 +14,10 @@
 _ZONE_PREFIX: Final = 'zones.'
 # Not in the settings file; the deploy file names the same port.
 METRICS_PORT: Final = 9464
+# A field of carobmoor itself, which a template of the deploy file may add.
+_MAX_PIPELINED_FIELD: Final = 'pipelining.maxInProgress'
+_MIN_PIPELINED: Final = 1
+_MAX_PIPELINED: Final = 256
 
 
 class SettingsError(ValueError):
@@ -81,6 +85,7 @@
             if name.startswith(_ZONE_PREFIX)
         },
         bounds=_build_bounds(fields),
+        max_pipelined=_parse_max_pipelined(fields),
     )
 
 
@@ -112,6 +117,18 @@
     )
 
 
+def _parse_max_pipelined(fields: Mapping[str, str]) -> int:
+    if _MAX_PIPELINED_FIELD not in fields:
+        return MeshSettings._field_defaults['max_pipelined']
+    number = _parse_number(fields, _MAX_PIPELINED_FIELD)
+    if not _MIN_PIPELINED <= number <= _MAX_PIPELINED:
+        raise SettingsError(
+            f'{_MAX_PIPELINED_FIELD}: {number} is not between '
+            f'{_MIN_PIPELINED} and {_MAX_PIPELINED}',
+        )
+    return number
+
+
 def _require_text(fields: Mapping[str, str], name: str) -> str:
     content = fields.get(name, '')
     if not content:
--- a/carobmoor/platform/_store.py
+++ b/carobmoor/platform/_store.py
@@ -45,6 +45,8 @@
 _MIN_SERVER_ERROR_STATUS: Final = 500
 _TOO_MANY_REQUESTS: Final = 429
 _JSON_HEADERS: Final = ((b'content-type', b'application/json'),)
+# The platform returns no more rows at once.
+_MAX_PAGE_ROWS: Final = 500
 # Appended to a prefix, it sorts after every key with that prefix.
 _MAX_CHARACTER: Final = '\U0010ffff'
 
@@ -221,7 +223,7 @@
         start: str,
         end: str,
     ) -> Result[RowChanges, StoreFailure]:
-        query = {'table': table, 'part': ''}
+        query = {'table': table, 'part': '', 'limit': _MAX_PAGE_ROWS}
         if start:
             query['startKey'] = start
         if end:
--- a/carobmoor/platform/tests/test_decode.py
+++ b/carobmoor/platform/tests/test_decode.py
@@ -34,6 +34,9 @@
     assert settings.regions['abuja-wuse'] == 'abuja'
     assert settings.bounds.stop_ms == 6000
     assert settings.bounds.retry_window_ms == 10_000
+    assert settings.max_pipelined == 16
+    limited = parse_settings(f'{SETTINGS}\npipelining.maxInProgress=4\n')
+    assert limited.unwrap().max_pipelined == 4
 
 
 @params(
@@ -43,6 +46,16 @@
     ('grace=6s', 'grace=6', 'bounds.grace: '),
     ('retryBudgetRatio=0.2', 'retryBudgetRatio=a', 'bounds.retryBudgetRatio: '),
     ('heartbeat=1500ms', 'heartbeat=soon', 'heartbeat: '),
+    (
+        'role=',
+        'pipelining.maxInProgress=0\nrole=',
+        'pipelining.maxInProgress: ',
+    ),
+    (
+        'role=',
+        'pipelining.maxInProgress=x\nrole=',
+        'pipelining.maxInProgress: ',
+    ),
 )
 def test_invalid_settings_error_names_field(old, new, expected):
     """The error for a missing or malformed field names the field."""
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -119,6 +119,16 @@
             ('service',),
             registry=self.registry,
         )
+        self.overlapped_requests = Gauge(
+            'carobmoor_overlapped_requests',
+            'Pipelined requests started before all earlier answers were sent.',
+            registry=self.registry,
+        )
+        self.held_answer_bytes = Gauge(
+            'carobmoor_held_answer_bytes',
+            'Bytes of answers that wait for earlier ones.',
+            registry=self.registry,
+        )
         self.store_calls = Gauge(
             'carobmoor_store_calls',
             'Calls that this node made to the platform.',
