Keep a mesh node working through malformed records, errors and late messages

Cause, each shown by a test that failed first: a record whose ip is no address raised at sending and ended the gossip task unnoticed (any background task ended so); a delayed older record of the same start made a leaving server a candidate again; a request accepted while a stopping node deleted its row, up to 0.3 s, was cut off 50 ms later; a deadline header of superscript digits reset the connection. Change: records without an IPv4 address and port are dropped; background tasks are restarted and their errors logged; records are compared by revision; a stop waits for the requests that it accepted until its listeners closed; a request is not sent once its deadline has passed.

--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -5,7 +5,7 @@
 import gc
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 from result import Result
@@ -133,16 +133,37 @@
 
 def _start_tasks(parts: MeshParts) -> list[asyncio.Task[None]]:
     node = parts.node
-    coroutines = (
-        parts.follower.run(),
-        parts.own_row.run(),
-        parts.gossip.run(),
-        follow_slowdown(node),
-        node.gate.expire_in_time(),
-        node.quarantine.mark_exchange.run(),
-        monitor_pauses(node.pauses),
-    )
-    return [asyncio.create_task(coroutine) for coroutine in coroutines]
+    runs: Mapping[str, Callable[[], Awaitable[None]]] = {
+        'follow_routes': parts.follower.run,
+        'own_row': parts.own_row.run,
+        'gossip': parts.gossip.run,
+        'slowdown': functools.partial(follow_slowdown, node),
+        'admission': node.gate.expire_in_time,
+        'marks': node.quarantine.mark_exchange.run,
+        'pauses': functools.partial(monitor_pauses, node.pauses),
+    }
+    return [
+        asyncio.create_task(keep_running(name, run))
+        for name, run in runs.items()
+    ]
+
+
+async def keep_running(
+    name: str, run: Callable[[], Awaitable[None]], restart_s: float = 0.5
+) -> None:
+    """Run a background task; start it again after an unexpected error.
+
+    Without this, the error would end the task unnoticed while the node goes
+    on.
+    """
+    while True:
+        try:
+            await run()
+        except Exception:
+            _log.exception('Background task failed; restarting.', task=name)
+        else:
+            return
+        await asyncio.sleep(restart_s)
 
 
 async def leave_mesh_node(parts: MeshParts) -> None:
@@ -160,17 +181,29 @@
     _log.info('Node stops.', in_hand=node.unfinished_requests)
     parts.gossip.notify_change()
     node.gate.refuse_waiting()
-    while time.monotonic() < started_s + stop_s:
-        await asyncio.sleep(_POLL_INTERVAL_S)
-        idle_s = time.monotonic() - max(node.last_request_s, started_s)
-        busy = node.unfinished_requests or node.gate.state.in_flight_total
-        if not busy and idle_s > _MIN_IDLE_S:
-            break
+    await _wait_idle(node, started_s + stop_s, _MIN_IDLE_S)
     if node.backend.last_announcement is None or not node.backend.is_ready:
         await _remove_row(parts)
     parts.callers.close()
     parts.nodes.close()
-    await asyncio.sleep(_POLL_INTERVAL_S)
+    # Requests may have been accepted since the last look.
+    await _wait_idle(node, started_s + stop_s, 0)
+
+
+async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
+    """Wait until no request has run for a time, but no longer than `until_s`.
+
+    A request counts from its arrival, so that a quiet moment shows that no
+    more are coming.
+    """
+    started_s = time.monotonic()
+    while True:
+        await asyncio.sleep(_POLL_INTERVAL_S)
+        now_s = time.monotonic()
+        idle_s = now_s - max(node.last_request_s, started_s)
+        busy = node.unfinished_requests or node.gate.state.in_flight_total
+        if now_s >= until_s or (not busy and idle_s > min_idle_s):
+            return
 
 
 async def _remove_row(parts: MeshParts) -> None:
--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -1,11 +1,13 @@
 """Datagrams between nodes: their records, and the load of their servers."""
 
+import ipaddress
 from typing import Final
 
 import msgspec
 
 from carobmoor.transport import Address
 
+_MAX_PORT: Final = 65_535
 # Header in which an owner reports its load on its answers.
 LOAD_HEADER: Final = b'x-carobmoor-hop-load'
 
@@ -79,6 +81,27 @@
 _record_decoder = msgspec.json.Decoder(NodeRecord)
 
 
+def is_outdated(record: NodeRecord, known: NodeRecord) -> bool:
+    """Return whether a record is older than the known one of the same start.
+
+    Records of other starts can't be compared, since clocks may jump.
+    """
+    is_same_start = record.incarnation == known.incarnation
+    return is_same_start and record.revision < known.revision
+
+
+def has_address(record: NodeRecord) -> bool:
+    """Return whether a record names an address that can be sent to.
+
+    Other writers may use the store's table and the nodes' port.
+    """
+    try:
+        ipaddress.IPv4Address(record.ip)
+    except ValueError:
+        return False
+    return 0 < record.port <= _MAX_PORT
+
+
 def encode_datagram(datagram: Datagram) -> bytes:
     """Encode a datagram."""
     return msgspec.json.encode(datagram)
@@ -87,9 +110,12 @@
 def decode_datagram(content: bytes | str) -> Datagram | None:
     """Decode a datagram; return `None` if it is malformed."""
     try:
-        return _decoder.decode(content)
+        datagram = _decoder.decode(content)
     except msgspec.DecodeError:
         return None
+    if isinstance(datagram, Hello) and not has_address(datagram.record):
+        return None
+    return datagram
 
 
 def encode_record(record: NodeRecord) -> bytes:
@@ -100,6 +126,7 @@
 def decode_record(content: bytes) -> NodeRecord | None:
     """Decode a stored record; return `None` if it is malformed."""
     try:
-        return _record_decoder.decode(content)
+        record = _record_decoder.decode(content)
     except msgspec.DecodeError:
         return None
+    return record if has_address(record) else None
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -116,7 +116,9 @@
 
 def _deadline_ms(node: MeshNode, request: IncomingRequest) -> float:
     declared_ms = get_header(request.headers, node.names.deadline_ms)
-    return float(declared_ms) if declared_ms.isdigit() else _DEFAULT_DEADLINE_MS
+    return (
+        float(declared_ms) if declared_ms.isdecimal() else _DEFAULT_DEADLINE_MS
+    )
 
 
 async def _attempt_until_answered(
--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -12,6 +12,7 @@
     Query,
     decode_datagram,
     encode_datagram,
+    is_outdated,
 )
 from carobmoor.mesh._fresh_loads import start_answer
 from carobmoor.mesh._peers import Peer
@@ -115,6 +116,8 @@
         if record.address == node.settings.node_address:
             return None
         known = node.peers.find_by_ip(record.ip)
+        if known is not None and is_outdated(record, known.record):
+            return known
         if known is None or known.record != record:
             _log.info(
                 'Node added or changed.',
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -188,6 +188,8 @@
     ) or node.quarantine.recheck(permit)
     if refusal is None and owner_request.lost.done():
         refusal = _not_run(node, Code.CALLER_GONE)
+    if refusal is None and time.monotonic() >= deadlines.deadline_s:
+        refusal = _not_run(node, Code.DEADLINE_LAPSED)
     if refusal is not None:
         node.gate.release_unused(grant)
         return Err(refusal)
