Refuse what can't be served in time, at once and truthfully

Change: an owner refuses a start that would miss the deadline at the server's present slowdown; a node tries no further owner then. A hedge counts as run only if it may have run. Before a request goes to another region, two nodes there are asked for their load, and none of unknown load is chosen. Retry-After follows the route's typical time, with a random part. Half-closing a connection that the peer has reset raised in whatever task closed it: it is reset then.

--- a/bench/_load_model.py
+++ b/bench/_load_model.py
@@ -22,6 +22,7 @@
 _ZONES: Final = 3
 # Time until the answer to a query has arrived.
 _QUERY_S: Final = 0.003
+_MOMENT_S: Final = 0.000001
 _UPDATE_INTERVAL_S: Final = 0.25
 
 
@@ -66,7 +67,8 @@
         """Start idle; its slow periods are drawn at once."""
         self.number = number
         self.running = 0
-        self.waiting: list[tuple[float, float]] = []
+        # Arrival times of the requests that wait here.
+        self.waiting: list[float] = []
         self.pattern = pattern
         self.is_lost = number < pattern.lost_share * pattern.servers
         periods = int(pattern.duration_s / pattern.slow_period_s) + 2
@@ -80,6 +82,15 @@
         slow_percent = self.pattern.slow_percent if is_slow else 0
         return max(base_percent, slow_percent)
 
+    def is_slow(self, now_s: float) -> bool:
+        """Return whether a start should wait for the end of slowness."""
+        return self.slowdown_percent(now_s) > self.baseline_percent(now_s)
+
+    def can_start(self, now_s: float) -> bool:
+        """Return whether a request would start now."""
+        has_slot = self.running < self.pattern.slots
+        return has_slot and not self.is_slow(now_s)
+
     def baseline_percent(self, now_s: float) -> int:
         """Return the slowdown outside of slow periods."""
         is_cold = now_s < self.pattern.warm_from_s
@@ -132,6 +143,11 @@
         """Handle all events in their order."""
         for number in range(int(self.pattern.duration_s / _UPDATE_INTERVAL_S)):
             self.at(number * _UPDATE_INTERVAL_S, self._send_updates)
+        periods = self.pattern.duration_s / self.pattern.slow_period_s
+        for number in range(int(periods) + 2):
+            # A moment later, so that rounding does not hide the new period.
+            begin_s = number * self.pattern.slow_period_s + _MOMENT_S
+            self.at(begin_s, self._begin_period)
         while self._events:
             now_s, _, event = heapq.heappop(self._events)
             event(now_s)
@@ -141,8 +157,9 @@
         if server.has_failed(now_s):
             self.failed += 1
             return
-        if server.running >= self.pattern.slots:
-            server.waiting.append((arrived_s, now_s))
+        if server.running >= self.pattern.slots or server.is_slow(now_s):
+            # As owners do, it waits for a slot and for the end of slowness.
+            server.waiting.append(arrived_s)
             return
         server.running += 1
         slowdown = server.slowdown_percent(now_s) / _TYPICAL_PERCENT
@@ -160,9 +177,15 @@
     def _end(self, server: Server, arrived_s: float, now_s: float) -> None:
         server.running -= 1
         self.times_ms.append((now_s - arrived_s) * _MS_PER_S)
-        if server.waiting:
-            waiting_since_s, _ = server.waiting.pop(0)
-            self.start(server, waiting_since_s, now_s)
+        self._start_waiting(server, now_s)
+
+    def _start_waiting(self, server: Server, now_s: float) -> None:
+        while server.can_start(now_s) and server.waiting:
+            self.start(server, server.waiting.pop(0), now_s)
+
+    def _begin_period(self, now_s: float) -> None:
+        for server in self.servers:
+            self._start_waiting(server, now_s)
 
     def _peers_of(self, node: int) -> list[Peer]:
         peers = []
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -9,7 +9,7 @@
 
 from carobmoor.mesh._choose import RequestProfile, choose
 from carobmoor.mesh._datagrams import LOAD_HEADER, Load, decode_datagram
-from carobmoor.mesh._fresh_loads import refresh_loads
+from carobmoor.mesh._fresh_loads import refresh_loads, refresh_remote
 from carobmoor.mesh._hop import HOP_HEADER, Hop, encode_hop
 from carobmoor.mesh._owner import run_on_backend
 from carobmoor.mesh._owner_request import (
@@ -92,14 +92,23 @@
     )
     candidates = node.peers.for_service(pending.service)
     await refresh_loads(node, profile, candidates)
+    chosen = _choose_now(node, profile, candidates)
+    if chosen is not None and chosen.distance == OTHER_REGION:
+        known = await refresh_remote(node, chosen, candidates)
+        chosen = _choose_now(node, profile, known)
+    if chosen is not None:
+        pending.chosen = _inputs_of(chosen, time.monotonic())
+    return chosen
+
+
+def _choose_now(
+    node: MeshNode, profile: RequestProfile, candidates: Sequence[Peer]
+) -> Peer | None:
     now_s = time.monotonic()
     for peer in candidates:
         if peer.is_self:
             peer.record_load(node.load(now_s), now_s)
-    chosen = choose(candidates, profile, now_s, node.rng)
-    if chosen is not None:
-        pending.chosen = _inputs_of(chosen, now_s)
-    return chosen
+    return choose(candidates, profile, now_s, node.rng)
 
 
 def _inputs_of(peer: Peer, now_s: float) -> Mapping[str, object]:
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -24,6 +24,7 @@
     respond_failure,
     respond_unavailable,
 )
+from carobmoor.mesh._slot_wait import MIN_TIME_SHARE
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 from carobmoor.routes import Route, RouteKind, RouteTable, find_route
@@ -169,6 +170,9 @@
         return False
     if not pending.may_attempt_again:
         return False
+    typical_ms = node.times.response_times.typical_ms(pending.route.name)
+    if pending.remaining_s <= typical_ms / _MS_PER_S * MIN_TIME_SHARE:
+        return False
     if not pending.sends:
         return True
     nodes = sum(1 for _ in node.peers)
--- a/carobmoor/mesh/_fresh_loads.py
+++ b/carobmoor/mesh/_fresh_loads.py
@@ -14,12 +14,16 @@
 from carobmoor.mesh._datagrams import Query, encode_datagram
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._state import MeshNode
+from carobmoor.routing import OTHER_REGION
 
 # Loads of this age are used without asking.
 _FRESH_S: Final = 0.02
 # How long a choice waits for answers; twice the way between two availability
 # zones and some processing.
 _MAX_WAIT_S: Final = 0.008
+# The same for other regions, whose queues matter more than their slowdown.
+_REMOTE_FRESH_S: Final = 0.3
+_MAX_REMOTE_WAIT_S: Final = 0.03
 # The slowdown in the answer to a query is this old at most.
 _ANSWER_FRESH_S: Final = 0.03
 _QUERY: Final = encode_datagram(Query())
@@ -53,6 +57,33 @@
         )
 
 
+async def refresh_remote(
+    node: MeshNode, chosen: Peer, candidates: Sequence[Peer]
+) -> Sequence[Peer]:
+    """Return the candidates without those of other regions of unknown load.
+
+    Asks the chosen one and one more first. When the own region is busy, the
+    others often are too, and a request sent there in vain costs traffic.
+    """
+    remote = [peer for peer in candidates if peer.distance == OTHER_REGION]
+    asked = {chosen, node.rng.choice(remote)}
+    unanswered = {_ask(node, peer) for peer in asked if not _is_recent(peer)}
+    if unanswered:
+        await asyncio.wait(unanswered, timeout=_MAX_REMOTE_WAIT_S)
+    known = [
+        peer
+        for peer in candidates
+        if peer.distance != OTHER_REGION or _is_recent(peer)
+    ]
+    return known or candidates
+
+
+def _is_recent(peer: Peer) -> bool:
+    if peer.load is None:
+        return False
+    return time.monotonic() - peer.load_received_at_s <= _REMOTE_FRESH_S
+
+
 def start_answer(node: MeshNode, ip: str) -> None:
     """Answer a query with the load of the own server, if the node is known.
 
--- a/carobmoor/mesh/_hedge.py
+++ b/carobmoor/mesh/_hedge.py
@@ -12,7 +12,7 @@
 from carobmoor.mesh._pending_request import PendingRequest
 from carobmoor.mesh._relay import discard_answer
 from carobmoor.mesh._state import MeshNode
-from carobmoor.outcomes import Failure
+from carobmoor.outcomes import Failure, Unknown
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import get_header
 
@@ -50,6 +50,8 @@
         return await _race(node, pending, attempts)
     finally:
         for task in attempts:
+            # What has not ended by now may have run.
+            pending.may_have_run = pending.may_have_run or not task.done()
             await _cancel(task)
 
 
@@ -67,7 +69,7 @@
         attempts[asyncio.create_task(attempt(node, pending, hedge_peer))] = (
             hedge_peer
         )
-    return await _first_answer(attempts)
+    return await _first_answer(pending, attempts)
 
 
 async def _wait_until_stuck(
@@ -117,7 +119,6 @@
     node.metrics.resends.labels(pending.service).inc()
     pending.tried.append(hedge_peer.address)
     pending.sends += 1
-    pending.may_have_run = True
     request = pending.request
     _log.info(
         'Hedge sent.',
@@ -130,6 +131,7 @@
 
 
 async def _first_answer(
+    pending: PendingRequest,
     attempts: dict[asyncio.Task[AttemptResult], Peer],
 ) -> AttemptOutcome:
     """Return the first answer, or the last failure if every attempt fails."""
@@ -141,9 +143,12 @@
         )
         ended = done.pop()
         unfinished |= done
-        if isinstance(ended.result(), Ok) or not unfinished:
-            peer = attempts.pop(ended)
-            return AttemptOutcome(peer, ended.result())
+        sent = ended.result()
+        if isinstance(sent, Ok) or not unfinished:
+            return AttemptOutcome(attempts.pop(ended), sent)
+        pending.may_have_run = pending.may_have_run or isinstance(
+            sent.err_value, Unknown
+        )
 
 
 async def _cancel(task: asyncio.Task[AttemptResult]) -> None:
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -6,20 +6,25 @@
 from collections.abc import AsyncGenerator
 from typing import Final, NamedTuple
 
-from result import Err, Ok, Result
+from result import Err, Result
 
-from carobmoor.admission import Arrival, SlotGrant
+from carobmoor.admission import SlotGrant
 from carobmoor.mesh._backend_call import check_answer, send_to_backend
 from carobmoor.mesh._owner_request import OwnerRequest, cancel_when_lost
-from carobmoor.mesh._slowdown import WaitLimits
-from carobmoor.mesh._state import MeshNode, rank_name
+from carobmoor.mesh._slot_wait import (
+    Deadlines,
+    acquire_slot_when_fast,
+    is_late_start,
+    is_too_late,
+    refusal_with,
+)
+from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Code, Failure, NotRun
 from carobmoor.quarantine import Permit, RequestIdentity
 from carobmoor.routes import RouteKind
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import (
     Answer,
-    CallerLost,
     CallFailure,
     HeaderList,
     end_to_end_headers,
@@ -51,14 +56,6 @@
     running: int
 
 
-class Deadlines(NamedTuple):
-    """Time limits of an answer, on the monotonic clock."""
-
-    deadline_s: float
-    # End of the route's target latency.
-    target_at_s: float
-
-
 class BackendAnswer:
     """An answer of the own backend server; holds its slot until its end."""
 
@@ -132,8 +129,8 @@
     refusal = _ownership_refusal(node, owner_request)
     if refusal is not None:
         return Err(refusal)
-    if owner_request.hop.may_decline and await _is_late_start(node):
-        return Err(_not_run(node, Code.SLOW))
+    if owner_request.hop.may_decline and await is_late_start(node):
+        return Err(refusal_with(node, Code.SLOW))
     now_s = time.monotonic()
     remaining_s = owner_request.hop.remaining_ms / _MS_PER_S
     target_remaining_s = owner_request.hop.target_remaining_ms / _MS_PER_S
@@ -154,14 +151,6 @@
     return ran
 
 
-async def _is_late_start(node: MeshNode) -> bool:
-    """Return whether a request would wait here or start on a slow server."""
-    admission = node.gate.state
-    if admission.in_flight_total >= admission.policy.slots:
-        return True
-    return await node.slowdown_monitor.is_slow()
-
-
 async def wait_after_pause(node: MeshNode) -> None:
     """Let the sockets be read if this process has just paused.
 
@@ -179,7 +168,7 @@
     deadlines: Deadlines,
 ) -> Result[BackendAnswer, Failure]:
     arrived_s = time.monotonic()
-    acquired = await _acquire_slot_when_fast(node, owner_request, deadlines)
+    acquired = await acquire_slot_when_fast(node, owner_request, deadlines)
     if isinstance(acquired, Err):
         return acquired
     grant = acquired.ok_value
@@ -187,9 +176,9 @@
         node, owner_request
     ) or node.quarantine.recheck(permit)
     if refusal is None and owner_request.lost.done():
-        refusal = _not_run(node, Code.CALLER_GONE)
-    if refusal is None and time.monotonic() >= deadlines.deadline_s:
-        refusal = _not_run(node, Code.DEADLINE_LAPSED)
+        refusal = refusal_with(node, Code.CALLER_GONE)
+    if refusal is None and is_too_late(node, owner_request, deadlines):
+        refusal = refusal_with(node, Code.DEADLINE_UNREACHABLE)
     if refusal is not None:
         node.gate.release_unused(grant)
         return Err(refusal)
@@ -208,49 +197,6 @@
     )
 
 
-async def _acquire_slot_when_fast(
-    node: MeshNode,
-    owner_request: OwnerRequest,
-    deadlines: Deadlines,
-) -> Result[SlotGrant, Failure]:
-    """Wait for a slot at a moment when the server is not slow.
-
-    A slot alone is enough where waiting is not worth it or the time is short.
-    """
-    typical_s = (
-        node.times.service_times.typical_ms(owner_request.hop.route) / _MS_PER_S
-    )
-    wait_limits = WaitLimits(deadlines.deadline_s - typical_s, typical_s)
-    while True:
-        try:
-            await cancel_when_lost(
-                owner_request.lost,
-                node.slowdown_monitor.wait_while_slow(wait_limits),
-            )
-        except CallerLost:
-            return Err(_not_run(node, Code.CALLER_GONE))
-        acquired = await _acquire_slot(node, owner_request, deadlines)
-        if isinstance(acquired, Err):
-            return acquired
-        if not await _release_if_slow(node, acquired.ok_value, wait_limits):
-            return acquired
-
-
-async def _release_if_slow(
-    node: MeshNode,
-    grant: SlotGrant,
-    wait_limits: WaitLimits,
-) -> bool:
-    """Give the slot back and return `True` if the server is slow now."""
-    is_kept = False
-    try:
-        is_kept = not await node.slowdown_monitor.should_wait(wait_limits)
-    finally:
-        if not is_kept:
-            node.gate.release_unused(grant)
-    return not is_kept
-
-
 def _identity_of(
     node: MeshNode, owner_request: OwnerRequest
 ) -> RequestIdentity:
@@ -272,43 +218,12 @@
     last = backend.last_announcement
     hop = owner_request.hop
     if last is None or last.service != hop.service:
-        return _not_run(node, Code.NOT_OWNER)
+        return refusal_with(node, Code.NOT_OWNER)
     if not backend.is_ready or node.is_leaving:
-        return _not_run(node, Code.LEAVING)
+        return refusal_with(node, Code.LEAVING)
     return None
 
 
-def _not_run(node: MeshNode, code: Code) -> NotRun:
-    return NotRun(code, 'admission', str(node.settings.node_address))
-
-
-async def _acquire_slot(
-    node: MeshNode,
-    owner_request: OwnerRequest,
-    deadlines: Deadlines,
-) -> Result[SlotGrant, Failure]:
-    arrival = Arrival(
-        owner_request.request_id.decode('latin-1'),
-        rank_name(owner_request.hop.priority),
-        '',
-        0,
-        deadlines.deadline_s,
-        deadlines.target_at_s,
-    )
-    asked = node.gate.request_slot(arrival)
-    if isinstance(asked, Err):
-        return Err(_not_run(node, asked.err_value))
-    try:
-        waited = await cancel_when_lost(
-            owner_request.lost, node.gate.wait(asked.ok_value)
-        )
-    except CallerLost:
-        return Err(_not_run(node, Code.CALLER_GONE))
-    if isinstance(waited, Err):
-        return Err(_not_run(node, waited.err_value))
-    return Ok(waited.ok_value)
-
-
 async def _call_backend(
     node: MeshNode,
     owner_request: OwnerRequest,
--- a/carobmoor/mesh/_responses.py
+++ b/carobmoor/mesh/_responses.py
@@ -12,8 +12,12 @@
 from carobmoor.transport import IncomingRequest, get_header
 
 _MS_PER_S: Final = 1000
-# Time after which a refused caller may retry.
-_RETRY_AFTER_S: Final = 0.05
+# Time after which a refused caller may retry, as a share of the typical time
+# of its route: a slot is likely to be free by then. The random part keeps
+# callers that were refused together from returning together.
+_RETRY_AFTER_SHARE: Final = 0.3
+_MIN_RETRY_AFTER_S: Final = 0.05
+_RETRY_AFTER_SPREAD: Final = 0.5
 _STARTING_RETRY_AFTER_S: Final = 0.2
 _log = logger_for('forward')
 
@@ -47,11 +51,18 @@
     )
     record_end(node, pending, int(status))
     if status is HTTPStatus.SERVICE_UNAVAILABLE:
-        respond_unavailable(node, request, _RETRY_AFTER_S)
+        respond_unavailable(node, request, _retry_after_s(node, pending))
     else:
         respond(node, request, status)
 
 
+def _retry_after_s(node: MeshNode, pending: PendingRequest) -> float:
+    typical_ms = node.times.response_times.typical_ms(pending.route.name)
+    after_s = _RETRY_AFTER_SHARE * typical_ms / _MS_PER_S
+    spread = 1 + _RETRY_AFTER_SPREAD * (2 * node.rng.random() - 1)
+    return max(_MIN_RETRY_AFTER_S, after_s) * spread
+
+
 def respond_unavailable(
     node: MeshNode,
     request: IncomingRequest,
--- /dev/null
+++ b/carobmoor/mesh/_slot_wait.py
@@ -0,0 +1,125 @@
+"""Slots of the own backend server, at moments when a start is worth it."""
+
+import time
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from carobmoor.admission import Arrival, SlotGrant
+from carobmoor.mesh._owner_request import OwnerRequest, cancel_when_lost
+from carobmoor.mesh._slowdown import WaitLimits
+from carobmoor.mesh._state import MeshNode, rank_name
+from carobmoor.outcomes import Code, Failure, NotRun
+from carobmoor.transport import CallerLost
+
+_MS_PER_S: Final = 1000
+_TYPICAL_PERCENT: Final = 100
+# Share of the expected time that must remain for a start; some requests take
+# less than is typical.
+MIN_TIME_SHARE: Final = 0.7
+
+
+class Deadlines(NamedTuple):
+    """Time limits of an answer, on the monotonic clock."""
+
+    deadline_s: float
+    # End of the route's target latency.
+    target_at_s: float
+
+
+def refusal_with(node: MeshNode, code: Code) -> NotRun:
+    return NotRun(code, 'admission', str(node.settings.node_address))
+
+
+async def is_late_start(node: MeshNode) -> bool:
+    """Return whether a request would wait here or start on a slow server."""
+    admission = node.gate.state
+    if admission.in_flight_total >= admission.policy.slots:
+        return True
+    return await node.slowdown_monitor.is_slow()
+
+
+def is_too_late(
+    node: MeshNode, owner_request: OwnerRequest, deadlines: Deadlines
+) -> bool:
+    """Return whether a request that starts now would miss its deadline.
+
+    It would hold a slot in vain, and its caller has time for another try.
+    """
+    typical_ms = node.times.service_times.typical_ms(owner_request.hop.route)
+    percent = _TYPICAL_PERCENT
+    if node.backend.is_slow:
+        percent = node.backend.slowdown_percent
+    expected_s = typical_ms / _MS_PER_S * percent / _TYPICAL_PERCENT
+    remaining_s = deadlines.deadline_s - time.monotonic()
+    return remaining_s <= expected_s * MIN_TIME_SHARE
+
+
+async def acquire_slot_when_fast(
+    node: MeshNode,
+    owner_request: OwnerRequest,
+    deadlines: Deadlines,
+) -> Result[SlotGrant, Failure]:
+    """Wait for a slot at a moment when the server is not slow.
+
+    A slot alone is enough where waiting is not worth it or the time is short.
+    """
+    typical_s = (
+        node.times.service_times.typical_ms(owner_request.hop.route) / _MS_PER_S
+    )
+    wait_limits = WaitLimits(deadlines.deadline_s - typical_s, typical_s)
+    while True:
+        try:
+            await cancel_when_lost(
+                owner_request.lost,
+                node.slowdown_monitor.wait_while_slow(wait_limits),
+            )
+        except CallerLost:
+            return Err(refusal_with(node, Code.CALLER_GONE))
+        acquired = await _acquire_slot(node, owner_request, deadlines)
+        if isinstance(acquired, Err):
+            return acquired
+        if not await _release_if_slow(node, acquired.ok_value, wait_limits):
+            return acquired
+
+
+async def _release_if_slow(
+    node: MeshNode,
+    grant: SlotGrant,
+    wait_limits: WaitLimits,
+) -> bool:
+    """Give the slot back and return `True` if the server is slow now."""
+    is_kept = False
+    try:
+        is_kept = not await node.slowdown_monitor.should_wait(wait_limits)
+    finally:
+        if not is_kept:
+            node.gate.release_unused(grant)
+    return not is_kept
+
+
+async def _acquire_slot(
+    node: MeshNode,
+    owner_request: OwnerRequest,
+    deadlines: Deadlines,
+) -> Result[SlotGrant, Failure]:
+    arrival = Arrival(
+        owner_request.request_id.decode('latin-1'),
+        rank_name(owner_request.hop.priority),
+        '',
+        0,
+        deadlines.deadline_s,
+        deadlines.target_at_s,
+    )
+    asked = node.gate.request_slot(arrival)
+    if isinstance(asked, Err):
+        return Err(refusal_with(node, asked.err_value))
+    try:
+        waited = await cancel_when_lost(
+            owner_request.lost, node.gate.wait(asked.ok_value)
+        )
+    except CallerLost:
+        return Err(refusal_with(node, Code.CALLER_GONE))
+    if isinstance(waited, Err):
+        return Err(refusal_with(node, waited.err_value))
+    return Ok(waited.ok_value)
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -319,9 +319,14 @@
         if not transport.can_write_eof() or self._is_writing:
             self.close(reason)
             return
+        try:
+            transport.write_eof()
+        except OSError as error:
+            # The peer has reset the connection, which was not read yet.
+            self.close(f'{reason}; {error}')
+            return
         self.close_reason = self.close_reason or reason
         self._is_abandoned = True
-        transport.write_eof()
         self._resume_reading()
         asyncio.get_running_loop().call_later(_LINGER_S, transport.abort)
         self._wake()
--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -421,7 +421,12 @@
         if self._transport.is_closing():
             return
         if self._transport.can_write_eof():
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError:
+                # The peer has reset the connection, which was not read yet.
+                self._transport.abort()
+                return
         self._update_reading()
         loop = asyncio.get_running_loop()
         loop.call_later(_LINGER_S, self._transport.abort)
