Bound heartbeats and hellos by region, read rows once at a first start

Change: 20 load updates a second and node instead of 40; hellos to other regions at 15 a second and region; a wait for loads ends with the first idle server of the region; an old report's queue counts less with its age; a node of a first start writes its row, then reads all. Tests: datagrams at 8 to 300 nodes a region, reads at a first start.

--- a/carobmoor/mesh/_choose.py
+++ b/carobmoor/mesh/_choose.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple
 
 from carobmoor.mesh._peers import Peer
-from carobmoor.routing import OTHER_REGION, SAME_ZONE
+from carobmoor.routing import OTHER_REGION
 from carobmoor.transport import Address
 
 _TYPICAL_PERCENT: Final = 100
@@ -23,7 +23,7 @@
 _LIKELY_COUNT: Final = 4
 _LIKELY_NOISE_MS: Final = 12
 # Expected delay at a server of unknown load, as a share of the typical time.
-_UNKNOWN_SHARE: Final = 0.5
+_UNKNOWN_DELAY_SHARE: Final = 0.5
 # Slowdown relative to the baseline up to which a server is not slow.
 _STEADY_RATIO: Final = 1.1
 
@@ -95,12 +95,13 @@
 
 
 def is_idle(peer: Peer) -> bool:
-    """Return whether a server of the same zone would start a request now."""
+    """Return whether a server would start a request now and is not slow."""
     load = peer.load
-    if load is None or peer.distance != SAME_ZONE:
+    if load is None:
         return False
     is_steady = load.slowdown_percent <= load.baseline_percent * _STEADY_RATIO
-    return is_steady and _outstanding(peer) < peer.concurrency_limit
+    outstanding = max(peer.in_flight, load.running + load.waiting)
+    return is_steady and outstanding < peer.concurrency_limit
 
 
 def predict_ms(peer: Peer, profile: RequestProfile, now_s: float) -> float:
@@ -110,7 +111,9 @@
     current slowdown.
     """
     base_ms = profile.typical_ms * _baseline_ratio(peer)
-    queued_ahead = max(0, _outstanding(peer) + 1 - peer.concurrency_limit)
+    unknown_share = _unknown_share(peer, now_s)
+    outstanding = _outstanding(peer, 1 - unknown_share)
+    queued_ahead = max(0, outstanding + 1 - peer.concurrency_limit)
     queue_ms = base_ms * queued_ahead / peer.concurrency_limit
     success = max(_MIN_SUCCESS_RATE, _success_rate(peer, now_s))
     failure_cost_ms = (1 - success) / success * _FAILURE_COST_MS
@@ -126,17 +129,19 @@
         + base_ms
         + failure_cost_ms
         + _silence_ms(peer, now_s)
-        + _uncertainty_ms(peer, profile.typical_ms, now_s)
+        + unknown_share * _UNKNOWN_DELAY_SHARE * profile.typical_ms
         + _slowdown_delay_ms(peer, profile.typical_ms, now_s)
     )
 
 
-def _outstanding(peer: Peer) -> float:
+def _outstanding(peer: Peer, known_share: float) -> float:
+    """Return the expected requests at a peer; an old report counts less."""
     load = peer.load
     if load is None:
         return peer.in_flight
     sent_since = max(0, peer.in_flight - peer.in_flight_at_report)
-    return max(peer.in_flight, load.running + load.waiting + sent_since)
+    reported = known_share * (load.running + load.waiting)
+    return max(peer.in_flight, reported + sent_since)
 
 
 def _baseline_ratio(peer: Peer) -> float:
@@ -162,17 +167,13 @@
     return unexpired_share * min(typical_ms * excess_ratio, period_ms)
 
 
-def _uncertainty_ms(peer: Peer, typical_ms: float, now_s: float) -> float:
-    """Return the expected delay by what the last load report does not say.
-
-    It grows with the age of the report, up to that of a server without one.
-    """
+def _unknown_share(peer: Peer, now_s: float) -> float:
+    """Return how little the load report of a peer still says, up to 1."""
     load = peer.load
-    age_share = float(1)
-    if load is not None:
-        age_ms = (now_s - peer.load_received_at_s) * _MS_PER_S
-        age_share = min(1, age_ms / (2 * max(1, load.slow_period_ms)))
-    return age_share * _UNKNOWN_SHARE * typical_ms
+    if load is None:
+        return 1
+    age_ms = (now_s - peer.load_received_at_s) * _MS_PER_S
+    return min(1, age_ms / (2 * max(1, load.slow_period_ms)))
 
 
 def _silence_ms(peer: Peer, now_s: float) -> float:
--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -26,14 +26,15 @@
 # A node sends its load to each node of its region at intervals, and this many
 # datagrams per second at most, so that its traffic is independent of the size.
 _MIN_LOAD_INTERVAL_S: Final = 0.25
-_MAX_LOADS_PER_S: Final = 40
+_MAX_LOADS_PER_S: Final = 20
 # A node of the region counts as down when it was silent for that many
 # intervals.
 _MAX_SILENT_INTERVALS: Final = 3.2
 # Traffic to other regions is expensive: one node of them gets a hello per
-# interval, in turn, so that what a node sends there does not grow with the
-# fleet.
-_OTHER_REGION_INTERVAL_S: Final = 1
+# interval, in turn. All nodes of a region together send a limited number, so
+# that it does not grow with the fleet; hellos also spread versions.
+_MIN_OTHER_REGION_INTERVAL_S: Final = 1
+_MAX_REGION_HELLOS_PER_S: Final = 15
 _TICK_S: Final = 0.05
 _FIRST_HELLO_INTERVAL_S: Final = 0.2
 _MAX_HELLO_INTERVAL_S: Final = 2
@@ -104,7 +105,8 @@
             self.send_load()
         for peer in region:
             self._check_silence(peer, now_s, _MAX_SILENT_INTERVALS * interval_s)
-        if now_s - self._other_region_hello_at_s >= _OTHER_REGION_INTERVAL_S:
+        hello_interval_s = other_region_interval_s(len(region))
+        if now_s - self._other_region_hello_at_s >= hello_interval_s:
             self._other_region_hello_at_s = now_s
             next_peer = _next_in_other_region(self._node.peers)
             if next_peer is not None:
@@ -233,6 +235,11 @@
     return max(_MIN_LOAD_INTERVAL_S, nodes / _MAX_LOADS_PER_S)
 
 
+def other_region_interval_s(nodes: int) -> float:
+    """Return the interval of hellos to other regions, with so many peers."""
+    return max(_MIN_OTHER_REGION_INTERVAL_S, nodes / _MAX_REGION_HELLOS_PER_S)
+
+
 def _next_in_other_region(peers: Iterable[Peer]) -> Peer | None:
     """Return the node of another region with the longest silence, if any.
 
--- a/carobmoor/mesh/_messages.py
+++ b/carobmoor/mesh/_messages.py
@@ -61,6 +61,8 @@
     bounds: MeshBounds = MeshBounds()
     # Idempotent requests of one connection that are served at the same time.
     max_pipelined: int = 16
+    # Whether the whole deployment starts for the first time.
+    is_first_start: bool = False
 
 
 class ServerStatus(enum.Enum):
--- a/carobmoor/mesh/_own_row.py
+++ b/carobmoor/mesh/_own_row.py
@@ -47,15 +47,25 @@
     async def run(self) -> None:
         """Read all rows, then write the own row whenever it changes.
 
-        Runs until cancelled.
+        At the first start of the deployment there is nothing to read yet, and
+        a node reads only after its write. Runs until cancelled.
         """
-        await self._read_first()
-        started_s = time.monotonic()
+        if self._node.settings.is_first_start:
+            await self._wait_for_heartbeat()
+            await self.save()
+        if not self._node.store_availability.has_read_members:
+            await self._read_first()
+        await self._wait_for_heartbeat()
         while True:
-            is_waiting = time.monotonic() < started_s + _FIRST_HEARTBEAT_S
-            is_known = bool(self._node.backend.instance_id)
-            if is_known or not is_waiting:
-                await self.save()
+            await self.save()
+            await asyncio.sleep(_TICK_S)
+
+    async def _wait_for_heartbeat(self) -> None:
+        """Wait for a limited time until the backend server is known."""
+        until_s = time.monotonic() + _FIRST_HEARTBEAT_S
+        while True:
+            if self._node.backend.instance_id or time.monotonic() > until_s:
+                return
             await asyncio.sleep(_TICK_S)
 
     async def _read_first(self) -> None:
@@ -63,7 +73,6 @@
             if await self._read():
                 break
             await asyncio.sleep(_RETRY_S)
-        self._node.store_availability.has_read_members = True
 
     async def save(self) -> None:
         """Write the own row unless the stored one is up to date."""
@@ -136,6 +145,7 @@
             else:
                 self._add_peer(record)
         _log.info('Rows of nodes read.', rows=len(read.ok_value.rows))
+        self._node.store_availability.has_read_members = True
         return True
 
     def _restore_own(self, record: NodeRecord, etag: str) -> None:
--- a/carobmoor/mesh/tests/test_membership.py
+++ b/carobmoor/mesh/tests/test_membership.py
@@ -6,7 +6,12 @@
 
 from nose2.tools import params
 
-from carobmoor.mesh import Announcement, ServerStatus, leave_mesh_node
+from carobmoor.mesh import (
+    Announcement,
+    ServerStatus,
+    leave_mesh_node,
+    start_mesh_node,
+)
 from carobmoor.mesh._backend import Backend, read_load
 from carobmoor.mesh._datagrams import decode_record
 from carobmoor.mesh.tests.fixtures import (
@@ -212,3 +217,22 @@
         assert len(mesh.store.calls) <= 5, mesh.store.calls
 
     run(use, 1)
+
+
+def test_first_start_reads_rows_once():
+    """At the first start of a deployment, a node reads after its write."""
+
+    async def use(mesh: Mesh) -> None:
+        pair = mesh.make(9)
+        settings = pair.node.settings._replace(is_first_start=True)
+        pair.node.settings = settings
+        await pair.backend.start()
+        mesh.store.calls.clear()
+        pair.tasks = await start_mesh_node(pair)
+        mesh.nodes.append(pair)
+        pair.announce(ready_announcement())
+        await mesh.wait_until_connected()
+        await asyncio.sleep(0.5)
+        assert mesh.store.calls.count('read') == 2, mesh.store.calls
+
+    run(use, 1)
--- a/carobmoor/mesh/tests/test_other_region_gossip.py
+++ b/carobmoor/mesh/tests/test_other_region_gossip.py
@@ -73,3 +73,24 @@
     gossip, sent = gossip_with(20)
     gossip.notify_change()
     assert not sent.by_ip
+
+
+@params(8, 30, 65, 300)
+def test_load_updates_do_not_grow_with_region(region_nodes):
+    """A node sends a limited number of updates, and hellos to other regions."""
+    gossip, sent = gossip_with(10)
+    own_region: set[str] = set()
+    for place in range(region_nodes):
+        record = NodeRecord(
+            f'127.1.{place // 200}.{place % 200 + 1}', 1, 1, 0, 'a', 'one', 'i'
+        )
+        peer = gossip._node.peers.add_or_update(record, 'north')
+        # Alive, so that it gets no hello.
+        peer.last_update_s = START_S + SECONDS
+        own_region.add(record.ip)
+    for tick in range(SECONDS * TICKS_A_S):
+        gossip.tick(START_S + tick / TICKS_A_S)
+    to_region = sum(sent.by_ip[ip] for ip in own_region)
+    assert to_region <= 28 * SECONDS + region_nodes
+    to_others = sent.by_ip.total() - to_region
+    assert to_others * region_nodes <= (15 + region_nodes) * (SECONDS + 1)
--- a/carobmoor/platform/_settings.py
+++ b/carobmoor/platform/_settings.py
@@ -86,6 +86,7 @@
         },
         bounds=_build_bounds(fields),
         max_pipelined=_parse_max_pipelined(fields),
+        is_first_start=fields.get('bootstrap') == 'true',
     )
 
 
