Leave time to delete the row at a stop, try owners while 0.4 of the time is left

A retry was given up below 0.7 of a typical time that queues had lengthened, while the owner judges by its own.

--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -181,13 +181,14 @@
     _log.info('Node stops.', in_hand=node.unfinished_requests)
     parts.gossip.notify_change()
     node.gate.refuse_waiting()
-    await _wait_idle(node, started_s + stop_s, _MIN_IDLE_S)
+    until_s = started_s + stop_s - _REMOVE_ROW_TIMEOUT_S
+    await _wait_idle(node, until_s, _MIN_IDLE_S)
     if node.backend.last_announcement is None or not node.backend.is_ready:
         await _remove_row(parts)
     parts.callers.close()
     parts.nodes.close()
     # Requests may have been accepted since the last look.
-    await _wait_idle(node, started_s + stop_s, 0)
+    await _wait_idle(node, until_s, 0)
 
 
 async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -24,7 +24,6 @@
     respond_failure,
     respond_unavailable,
 )
-from carobmoor.mesh._slot_wait import MIN_TIME_SHARE
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 from carobmoor.routes import Route, RouteKind, RouteTable, find_route
@@ -38,6 +37,8 @@
 # Share of the remaining time that a request may wait for an owner to be known.
 _WAIT_SHARE: Final = 0.3
 _POLL_S: Final = 0.02
+# Share of the typical time that must remain for another owner to be tried.
+_MIN_RETRY_SHARE: Final = 0.4
 _log = logger_for('forward')
 
 
@@ -171,7 +172,7 @@
     if not pending.may_attempt_again:
         return False
     typical_ms = node.times.response_times.typical_ms(pending.route.name)
-    if pending.remaining_s <= typical_ms / _MS_PER_S * MIN_TIME_SHARE:
+    if pending.remaining_s <= typical_ms / _MS_PER_S * _MIN_RETRY_SHARE:
         return False
     if not pending.sends:
         return True
--- a/carobmoor/mesh/_slot_wait.py
+++ b/carobmoor/mesh/_slot_wait.py
@@ -16,7 +16,7 @@
 _TYPICAL_PERCENT: Final = 100
 # Share of the expected time that must remain for a start; some requests take
 # less than is typical.
-MIN_TIME_SHARE: Final = 0.7
+_MIN_TIME_SHARE: Final = 0.7
 
 
 class Deadlines(NamedTuple):
@@ -52,7 +52,7 @@
         percent = node.backend.slowdown_percent
     expected_s = typical_ms / _MS_PER_S * percent / _TYPICAL_PERCENT
     remaining_s = deadlines.deadline_s - time.monotonic()
-    return remaining_s <= expected_s * MIN_TIME_SHARE
+    return remaining_s <= expected_s * _MIN_TIME_SHARE
 
 
 async def acquire_slot_when_fast(
