Let the soak's callers pipeline requests

Each node gets a caller that sends two to six requests at once on a connection; an answer in the place of another counts as one that no server gave.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -11,6 +11,7 @@
 from carobmoor.history import EventKind
 from carobmoor.transport import (
     Address,
+    AnswerHead,
     AnswerIncomplete,
     ConnectionPool,
     OutgoingRequest,
@@ -22,8 +23,8 @@
 from soak._server import REQUEST_ID, SIGNATURE
 
 HOST: Final = 'shop.example'
-_DEADLINE: Final = b'x-carobmoor-deadline-ms'
-_DEADLINE_MS: Final = 1000
+DEADLINE: Final = b'x-carobmoor-deadline-ms'
+DEADLINE_MS: Final = 1000
 # How long a caller waits for an answer; far beyond the deadline.
 _ANSWER_TIMEOUT_S: Final = 5
 _MAX_ANSWER_BYTES: Final = 100_000
@@ -84,13 +85,13 @@
 
     Returns the status of the answer, or 0 if there was no whole answer.
     """
-    request_id = f'r-{next(_request_numbers)}'
+    request_id = next_request_id()
     body = request_id.encode().ljust(request_kind.body_bytes, b'.')
     body = body if request_kind.body_bytes else b''
     headers = (
         (b'host', HOST.encode()),
         (REQUEST_ID, request_id.encode()),
-        (_DEADLINE, b'%d' % _DEADLINE_MS),
+        (DEADLINE, b'%d' % DEADLINE_MS),
     )
     request = OutgoingRequest(
         request_kind.method, request_kind.target, headers, body
@@ -131,15 +132,26 @@
             **request_fields,
         )
         return 0
-    status = answer.head.status
+    record_answer(record, request_id, answer.head, answer_body)
+    return answer.head.status
+
+
+def next_request_id() -> str:
+    """Return a request id that no other request has."""
+    return f'r-{next(_request_numbers)}'
+
+
+def record_answer(
+    record: Any, request_id: str, head: AnswerHead, body: bytes
+) -> None:
+    """Record the outcome that a whole answer tells."""
+    request_fields = {'process': 'caller', 'request_id': request_id}
+    status = head.status
     if status == _OK:
-        is_signed = bool(get_header(answer.head.headers, SIGNATURE))
-        digest = (
-            xxhash.xxh64_hexdigest(answer_body) if is_signed else 'unsigned'
-        )
+        is_signed = bool(get_header(head.headers, SIGNATURE))
+        digest = xxhash.xxh64_hexdigest(body) if is_signed else 'unsigned'
         record(EventKind.ANSWERED, digest=digest, **request_fields)
     elif status in _NOT_RUN_STATUSES:
         record(EventKind.REFUSED, detail=f'status {status}', **request_fields)
     else:
         record(EventKind.UNKNOWN, detail=f'status {status}', **request_fields)
-    return status
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -13,6 +13,7 @@
 from proofs._types import Breach
 from soak._callers import REQUEST_KINDS, RequestKind, call, call_until_cancelled
 from soak._faults import draw_faults, inject_fault
+from soak._pipelining import pipeline_until_cancelled
 from soak._rules import check_history
 from soak._stage import Place, SoakDeployment, probe_target
 
@@ -97,8 +98,9 @@
         if not await deployment.is_ready(place):
             await asyncio.sleep(_POLL_INTERVAL_S)
             continue
-        calling = asyncio.create_task(
-            call_until_cancelled(deployment.record, address, rng)
+        calling = asyncio.gather(
+            call_until_cancelled(deployment.record, address, rng),
+            pipeline_until_cancelled(deployment.record, address, rng),
         )
         try:
             await deployment.wait_ended(place)
