--- a/carobmoor/admission/_choice.py
+++ b/carobmoor/admission/_choice.py
@@ -64,6 +64,10 @@
 
 
 def _may_borrow(state: AdmissionState, rank: RankState) -> bool:
+    if not state.in_flight_total:
+        # With a limit as low as the slots reserved for others, a rank that
+        # has spent its credit would wait beside an idle server.
+        return free_slots(state) > 0
     others = tuple(state.ranks.values())
     reserved = slots_to_leave_free(rank, others, state.concurrency_limit.limit)
     return free_slots(state) > reserved
