Wait for the loads that were asked for, not for old ones

Cause: the wait ended at once when the last known load of an asked server, however old, had said that it was idle. Also, a request answered before its body had arrived left its connection without an idle timer. Change: only a fresh load ends the wait; the timer starts with the body's end. Test: test_fresh_loads failed before.

--- a/carobmoor/mesh/_fresh_loads.py
+++ b/carobmoor/mesh/_fresh_loads.py
@@ -46,7 +46,9 @@
         if _is_stale(peer)
     ]
     unanswered = {_ask(node, peer) for peer in asked}
-    while unanswered and not any(map(is_idle, asked)):
+    while unanswered and not any(
+        is_idle(peer) and not _is_stale(peer) for peer in asked
+    ):
         wait_s = until_s - time.monotonic()
         if wait_s <= 0:
             break
--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -122,9 +122,7 @@
         ip, port = transport.get_extra_info('peername')[:2]
         self.peer = f'{ip}:{port}'
         self._listener.connections.add(self)
-        self._start_timer(
-            self._listener.limits().idle_timeout_s, self.close_if_idle
-        )
+        self._start_idle_timer()
 
     def data_received(self, received: bytes) -> None:
         """Parse received data; refuse invalid or oversized requests."""
@@ -230,12 +228,15 @@
         request = self._reading_request
         self._reading_request = None
         self._head_bytes = 0
-        last = self._order.last
-        if request is None or last is None:
+        if request is None:
             return
         request.is_complete = True
         request.wake()
-        if last.request is request:
+        last = self._order.last
+        if last is None:
+            # The request was answered before its body had arrived.
+            self._start_idle_timer()
+        elif last.request is request:
             last.may_overlap = self._listener.may_overlap(request)
             self._start_due()
         self._update_reading()
@@ -285,9 +286,7 @@
         self._start_due()
         self._update_reading()
         if self._order.first is None and self._reading_request is None:
-            self._start_timer(
-                self._listener.limits().idle_timeout_s, self.close_if_idle
-            )
+            self._start_idle_timer()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
@@ -470,6 +469,11 @@
             HTTPStatus.REQUEST_TIMEOUT, 'head not received within the timeout'
         )
 
+    def _start_idle_timer(self) -> None:
+        self._start_timer(
+            self._listener.limits().idle_timeout_s, self.close_if_idle
+        )
+
     def _start_timer(
         self, after_s: float, callback: Callable[[], None]
     ) -> None:
