--- a/carobmoor/transport/tests/test_steps.py
+++ b/carobmoor/transport/tests/test_steps.py
@@ -283,7 +283,7 @@
         return (first, second)
 
     first, second = asyncio.run(run())
-    assert first.unwrap_err().step is Step.AWAITING_ANSWER
+    assert first.unwrap_err().step is Step.AWAITING_ANSWER, first
     assert second.unwrap().body == b'whole'
 
 
