Remove the places of answers, which nothing used

They were meant for hedges of the head of the line, which are not built. A test shows instead that an answer after the caller's departure, at a stop, meets no error; the order is searched without requiring that the answer is still in it.

--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -9,7 +9,6 @@
 from carobmoor.transport._end_to_end import end_to_end_headers
 from carobmoor.transport._exchange import Answer, AnswerIncomplete, send
 from carobmoor.transport._incoming import (
-    AnswerPlace,
     CallerLost,
     IncomingRequest,
     ServingLimits,
@@ -35,7 +34,6 @@
     'Answer',
     'AnswerHead',
     'AnswerIncomplete',
-    'AnswerPlace',
     'CallFailure',
     'CallerLost',
     'Connection',
--- a/carobmoor/transport/_answer_order.py
+++ b/carobmoor/transport/_answer_order.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from typing import Final, Protocol
 
-from carobmoor.transport._incoming import AnswerPlace, IncomingRequest
+from carobmoor.transport._incoming import IncomingRequest
 
 # A handler that streams a longer answer waits for its turn.
 _MAX_HELD_PER_ANSWER_BYTES: Final = 65_536
@@ -77,11 +77,6 @@
         """Whether the answer must announce that the connection closes."""
         return self._order.output.is_last(self)
 
-    @property
-    def place(self) -> AnswerPlace:
-        """The place of the answer in the order of the connection."""
-        return self._order.place_of(self)
-
     def write(self, payload: bytes) -> None:
         """Write a part of the answer, or hold it until its turn."""
         self._order.write(self, payload)
@@ -170,17 +165,12 @@
             slot.take_turn()
         self._slots.clear()
 
-    def place_of(self, slot: AnswerSlot) -> AnswerPlace:
-        """Return how many unsent answers are before and behind a slot."""
-        ahead = self._slots.index(slot) if slot in self._slots else 0
-        return AnswerPlace(ahead, max(0, len(self._slots) - 1 - ahead))
-
     def has_started_behind(self, slot: AnswerSlot) -> bool:
         """Return whether a request behind a slot was started."""
-        behind = itertools.islice(
-            self._slots, self.place_of(slot).ahead + 1, None
+        behind = itertools.dropwhile(
+            lambda other: other is not slot, self._slots
         )
-        return any(other.is_started for other in behind)
+        return any(other.is_started for other in behind if other is not slot)
 
     def write(self, slot: AnswerSlot, payload: bytes) -> None:
         """Send a part of an answer if it is its turn, else hold it."""
--- a/carobmoor/transport/_incoming.py
+++ b/carobmoor/transport/_incoming.py
@@ -29,13 +29,6 @@
     max_held_total_bytes: int = 8_388_608
 
 
-class AnswerPlace(NamedTuple):
-    """How many answers of a connection are before and behind one."""
-
-    ahead: int
-    behind: int
-
-
 class AnswerSink(Protocol):
     """Where the answer of a request goes."""
 
@@ -47,10 +40,6 @@
     def closes_after_answer(self) -> bool:
         """Whether the answer must announce that the connection closes."""
 
-    @property
-    def place(self) -> AnswerPlace:
-        """The place of the answer in the order of the connection."""
-
     def write(self, payload: bytes) -> None:
         """Write data."""
 
@@ -109,11 +98,6 @@
             return -1
         return int(get_header(self.headers, b'content-length') or 0)
 
-    @property
-    def place(self) -> AnswerPlace:
-        """The place of the answer in the order of its connection."""
-        return self._sink.place
-
     def answer_to(self, sink: AnswerSink) -> None:
         """Set where the answer goes."""
         self._sink = sink
