--- a/carobmoor/mesh/_fresh_loads.py
+++ b/carobmoor/mesh/_fresh_loads.py
@@ -18,8 +18,7 @@
 
 # Loads of this age are used without asking.
 _FRESH_S: Final = 0.02
-# How long a choice waits for answers; twice the way between two availability
-# zones and some processing.
+# How long a choice waits for answers from other availability zones.
 _MAX_WAIT_S: Final = 0.008
 # The same for other regions, whose queues matter more than their slowdown.
 _REMOTE_FRESH_S: Final = 0.3
@@ -36,8 +35,8 @@
 ) -> None:
     """Ask the likely owners for their load and wait briefly for the answers.
 
-    Returns as soon as one in the same availability zone reports that it is
-    idle. An owner that did not answer in time keeps its last known load.
+    Returns as soon as one reports that it is idle. An owner that did not
+    answer in time keeps its last known load.
     """
     until_s = time.monotonic() + _MAX_WAIT_S
     asked = [
