Pass one time through gossip, and measure the bound on load updates

Cause: `GossipProtocol.tick(now_s)` compared the given time with times that `send_load` and `send_hello` read from the clock themselves. In service both are the same clock; the test of the limit on load updates begins at 1000 s, so it passed only where the machine's clock was beyond that, and then a single round was sent and the bound was never measured.

Change: `send_load`, `send_hello` and `membership`'s `exchange` take the time. A scan of all functions outside tests that take `now_s` and read a clock, themselves or through a call, found these and no others. No other test mixes a made-up time with the clock: test_sync used the clock for an exchange, and has a fixed time now; test_robustness, test_overload, test_watchers, test_forwarding and test_ticketed_run read the clock for both.

The test begins at 1 s, half of the machine's clock, that clock and far after it, for four sizes, and asserts both ends: the bound, and as many rounds as the interval promises.

--- a/carobmoor/membership/_gossip.py
+++ b/carobmoor/membership/_gossip.py
@@ -105,9 +105,8 @@
             self._next_cleanup_s = now_s + _CLEANUP_INTERVAL_S
             remove_expired(self.state, now_s)
 
-    async def exchange(self, address: Address) -> bool:
+    async def exchange(self, address: Address, now_s: float) -> bool:
         """Synchronise with another node; return whether it answered."""
-        now_s = time.monotonic()
         return await synchronise(self.state, self.peers, address, now_s)
 
     def announce_version(self, version: int) -> None:
@@ -171,7 +170,7 @@
             address = member.address
         # Synchronise again soon if this exchange changes anything.
         before = self.state.change_count
-        await self.exchange(parse_address(address))
+        await self.exchange(parse_address(address), now_s)
         if self.state.change_count > before:
             self._next_sync_s = now_s + _QUICK_SYNC_S * jitter_factor(self._rng)
 
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -8,6 +8,7 @@
 import asyncio
 import functools
 import random
+import time
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -76,7 +77,7 @@
     await _write_own_row(gossip.state, store, rows, is_stale)
     for row in rows:
         if _is_out_of_contact(gossip.state, row):
-            await gossip.exchange(_address_of(row))
+            await gossip.exchange(_address_of(row), time.monotonic())
 
 
 async def _try_to_join(
@@ -130,9 +131,9 @@
         return False
     for address in rng.sample(helpers, min(_MAX_HELPERS_TRIED, len(helpers))):
         is_other = str(address) != gossip.state.me.address
-        if is_other and await gossip.exchange(address):
+        if is_other and await gossip.exchange(address, time.monotonic()):
             break
-    return await gossip.exchange(contact)
+    return await gossip.exchange(contact, time.monotonic())
 
 
 async def _read_rows(store: Store) -> Sequence[Row] | None:
--- a/carobmoor/membership/tests/test_sync.py
+++ b/carobmoor/membership/tests/test_sync.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from unittest import mock
 
 import msgspec
@@ -127,9 +126,9 @@
     async def scenario(change_count):
         state = state_of(ME, [OTHER])
         gossip = Gossip(state, ConnectionPool(), random.Random(0))
-        now_s = time.monotonic()
+        now_s = 1000
 
-        async def exchange(_):
+        async def exchange(_address, _now_s):
             for number in range(change_count):
                 state.put(member(10 + number), 0)
 
@@ -153,7 +152,7 @@
         gossip = Gossip(state, ConnectionPool(), random.Random(0))
         synchronised_with = []
 
-        async def exchange(address):
+        async def exchange(address, _now_s):
             synchronised_with.append(str(address))
 
         with mock.patch.object(gossip, 'exchange', exchange):
@@ -220,7 +219,7 @@
             await store.put_row('seeds', key, address.encode(), '')
         synchronised_with = []
 
-        async def exchange(address):
+        async def exchange(address, _now_s):
             synchronised_with.append(str(address))
             gossip.state.put(OTHER, 0)
             return True
--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -102,7 +102,7 @@
         ]
         interval_s = load_interval_s(len(region))
         if is_newer or now_s - self._load_sent_at_s >= interval_s:
-            self.send_load()
+            self.send_load(now_s)
         for peer in region:
             self._check_silence(peer, now_s, _MAX_SILENT_INTERVALS * interval_s)
         hello_interval_s = other_region_interval_s(len(region))
@@ -110,7 +110,7 @@
             self._other_region_hello_at_s = now_s
             next_peer = _next_in_other_region(self._node.peers)
             if next_peer is not None:
-                self.send_hello(next_peer)
+                self.send_hello(next_peer, now_s)
 
     def add_or_update(self, record: NodeRecord) -> Peer | None:
         """Record another node; return `None` if the record is of this one."""
@@ -131,11 +131,13 @@
         region = node.settings.regions.get(record.availability_zone, '')
         return node.peers.add_or_update(record, region)
 
-    def send_hello(self, peer: Peer, wants_reply: bool = True) -> None:
+    def send_hello(
+        self, peer: Peer, now_s: float, wants_reply: bool = True
+    ) -> None:
         """Send the own record to a node, and ask for its record if wanted."""
-        peer.hello_sent_at_s = time.monotonic()
+        peer.hello_sent_at_s = now_s
         peer.unanswered_hellos += wants_reply
-        sent_us = int(peer.hello_sent_at_s * _US_PER_S)
+        sent_us = int(now_s * _US_PER_S)
         node = self._node
         hello = Hello(node.record(), node.version, wants_reply, sent_us)
         self._send(peer, encode_datagram(hello))
@@ -146,6 +148,7 @@
         Nodes of other regions are not asked to reply. They learn the first
         record from the store instead, since all nodes may start together.
         """
+        now_s = time.monotonic()
         is_first = not self._node.revision
         self._node.revision += 1
         own_peer = self._node.peers.find_by_ip(self._node.settings.ip)
@@ -155,11 +158,10 @@
             is_remote = peer.distance == OTHER_REGION
             if not peer.is_self and not (is_first and is_remote):
                 peer.unanswered_hellos = 0
-                self.send_hello(peer, wants_reply=not is_remote)
+                self.send_hello(peer, now_s, wants_reply=not is_remote)
 
-    def send_load(self) -> None:
+    def send_load(self, now_s: float) -> None:
         """Send the load of the own server to the nodes of the region."""
-        now_s = time.monotonic()
         self._load_sent_at_s = now_s
         self._sent_version = self._node.version
         load = self._node.load(now_s)
@@ -183,7 +185,7 @@
             _FIRST_HELLO_INTERVAL_S * 2 ** min(peer.unanswered_hellos, 10),
         )
         if now_s - peer.hello_sent_at_s >= wait_s:
-            self.send_hello(peer)
+            self.send_hello(peer, now_s)
 
     def _handle_hello(self, hello: Hello) -> None:
         peer = self.add_or_update(hello.record)
@@ -212,7 +214,7 @@
         known = (record.incarnation, record.revision)
         if known != (load.incarnation, load.revision):
             if now_s - peer.hello_sent_at_s > _TICK_S:
-                self.send_hello(peer)
+                self.send_hello(peer, now_s)
             return
         self._mark_alive(peer, now_s, load.version)
         peer.record_load(load, now_s)
--- a/carobmoor/mesh/_own_row.py
+++ b/carobmoor/mesh/_own_row.py
@@ -180,9 +180,10 @@
         peer = self._gossip.add_or_update(record)
         if peer is not None:
             # Its row may be outdated: it gets requests once it has answered.
-            peer.avoided_until_s = time.monotonic() + _RETRY_S
+            now_s = time.monotonic()
+            peer.avoided_until_s = now_s + _RETRY_S
             if peer.distance != OTHER_REGION:
-                self._gossip.send_hello(peer)
+                self._gossip.send_hello(peer, now_s)
 
 
 def _restart_fields(record: NodeRecord) -> tuple[object, ...]:
--- a/carobmoor/mesh/tests/test_other_region_gossip.py
+++ b/carobmoor/mesh/tests/test_other_region_gossip.py
@@ -1,12 +1,14 @@
 """Traffic to other regions must not grow with the number of nodes there."""
 
+import itertools
+import time
 from collections import Counter
 from typing import Any
 
 from nose2.tools import params
 
 from carobmoor.mesh._datagrams import NodeRecord
-from carobmoor.mesh._gossip import GossipProtocol
+from carobmoor.mesh._gossip import GossipProtocol, load_interval_s
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh.tests.fixtures import Mesh
 
@@ -75,9 +77,19 @@
     assert not sent.by_ip
 
 
-@params(8, 30, 65, 300)
-def test_load_updates_do_not_grow_with_region(region_nodes):
-    """A node sends a limited number of updates, and hellos to other regions."""
+# Times before and after the machine's own clock, whatever its uptime.
+STARTS_S = (1, time.monotonic() / 2, time.monotonic(), time.monotonic() + 1e6)
+# Several of the longest intervals of load updates.
+UPDATES_S = 60
+
+
+@params(*itertools.product((8, 30, 65, 300), STARTS_S))
+def test_load_updates_do_not_grow_with_region(region_nodes, start_s):
+    """A node sends a limited number of updates, and hellos to other regions.
+
+    All that a tick sends is timed by the time that it is given. It once
+    compared that with the machine's own clock and sent an update in each tick.
+    """
     gossip, sent = gossip_with(10)
     own_region: set[str] = set()
     for place in range(region_nodes):
@@ -86,11 +98,14 @@
         )
         peer = gossip._node.peers.add_or_update(record, 'north')
         # Alive, so that it gets no hello.
-        peer.last_update_s = START_S + SECONDS
+        peer.last_update_s = start_s + UPDATES_S
         own_region.add(record.ip)
-    for tick in range(SECONDS * TICKS_A_S):
-        gossip.tick(START_S + tick / TICKS_A_S)
+    for tick in range(UPDATES_S * TICKS_A_S):
+        gossip.tick(start_s + tick / TICKS_A_S)
     to_region = sum(sent.by_ip[ip] for ip in own_region)
-    assert to_region <= 28 * SECONDS + region_nodes
+    assert to_region <= 28 * UPDATES_S + region_nodes
+    # A round starts in the first tick at which its interval has passed.
+    longest_s = load_interval_s(region_nodes) + 1 / TICKS_A_S
+    assert to_region >= region_nodes * int(UPDATES_S / longest_s)
     to_others = sent.by_ip.total() - to_region
-    assert to_others * region_nodes <= (15 + region_nodes) * (SECONDS + 1)
+    assert to_others * region_nodes <= (15 + region_nodes) * (UPDATES_S + 1)
