Log the rate limit that a backend server names, and show it as a metric

Change: the headers of answers and of health checks are recorded in one place, `mesh/_server_reports.py`, the rate limit among them. A change of it is logged; `Request run.` has the limit in force, and `carobmoor_rate_limit_per_second` shows it. Nothing is decided by it yet.

An answer to a request that was sent before the last change may be older than it, so it can only lower the limit.

It is named in health checks as well.

--- a/carobmoor/admission/__init__.py
+++ b/carobmoor/admission/__init__.py
@@ -24,6 +24,7 @@
     SlotGrant,
     Verdict,
 )
+from carobmoor.admission._rate_limit import RateLimit, read_rate_limit
 from carobmoor.admission._state import AdmissionState
 
 __all__ = [
@@ -35,11 +36,13 @@
     'Gate',
     'Placement',
     'RankPolicy',
+    'RateLimit',
     'SlotGrant',
     'Verdict',
     'expire',
     'finish',
     'offer',
+    'read_rate_limit',
     'release',
     'start_next',
     'withdraw',
--- a/carobmoor/admission/_state.py
+++ b/carobmoor/admission/_state.py
@@ -5,6 +5,7 @@
 from carobmoor.admission._limit import LimitState
 from carobmoor.admission._messages import AdmissionPolicy, Arrival
 from carobmoor.admission._ranks import RankState, set_shares
+from carobmoor.admission._rate_limit import RateLimit
 
 _SMOOTHING: Final = 0.1
 
@@ -34,6 +35,7 @@
         self.ranks: dict[str, RankState] = {}
         self.running: dict[int, Running] = {}
         self.concurrency_limit = LimitState(policy.slots)
+        self.rate_limit = RateLimit()
         self.service_time_s = float(0)
         self.queued_total = 0
         self.last_number = 0
--- a/carobmoor/mesh/_messages.py
+++ b/carobmoor/mesh/_messages.py
@@ -17,6 +17,7 @@
     load: bytes
     not_run: bytes
     caller_service: bytes
+    rate_limit: bytes
 
 
 class MeshBounds(NamedTuple):
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -95,6 +95,7 @@
             waited_ms=int(self._active.waited_s * _MS_PER_S),
             took_ms=int(duration_s * _MS_PER_S),
             pace_percent=self._active.slowdown_percent,
+            limit_per_s=self._node.rate_limit.per_s,
         )
         if is_good:
             self._record_times(duration_s)
@@ -241,7 +242,7 @@
             sent = await cancel_when_lost(owner_request.lost, sending)
         else:
             sent = await sending
-        checked = check_answer(node, sent, deadline_s)
+        checked = check_answer(node, sent, active.started_s, deadline_s)
         answer = checked.ok()
     finally:
         if answer is None:
--- a/carobmoor/mesh/_request_log.py
+++ b/carobmoor/mesh/_request_log.py
@@ -53,6 +53,7 @@
     metrics.in_flight.set(state.in_flight_total)
     metrics.queued.set(state.queued_total)
     metrics.concurrency_limit.set(state.concurrency_limit.limit)
+    metrics.rate_limit.set(state.rate_limit.per_s)
     metrics.configuration_version.set(node.version)
     metrics.marked_requests.set(len(node.quarantine.state.marks))
     kind = (b'content-type', b'text/plain; version=0.0.4')
--- a/carobmoor/mesh/_slowdown.py
+++ b/carobmoor/mesh/_slowdown.py
@@ -12,13 +12,13 @@
 
 from result import Err
 
-from carobmoor.mesh._backend import Backend, read_load
+from carobmoor.mesh._backend import Backend
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import (
     Address,
     ConnectionPool,
+    HeaderList,
     OutgoingRequest,
-    get_header,
     request_json,
 )
 
@@ -32,11 +32,13 @@
 
 
 class LoadQuery(NamedTuple):
-    """Where to ask for the load, and the header that carries it."""
+    """Where to ask for the load, and what records the answer."""
 
     pool: ConnectionPool
     address: Address
-    load_header: bytes
+    # Called with the headers of an answer, and when it was asked for and
+    # received.
+    record: Callable[[HeaderList, float, float], None]
     # Returns the health path, or `None` while it is unknown.
     path: Callable[[], str | None]
 
@@ -112,6 +114,7 @@
         path = query.path()
         if path is None:
             return
+        asked_at_s = time.monotonic()
         response = await request_json(
             query.pool,
             query.address,
@@ -129,6 +132,4 @@
             self._backend.slowdown_at_s = now_s
             return
         headers = response.ok_value.head.headers
-        load = read_load(get_header(headers, query.load_header))
-        if load is not None:
-            self._backend.record_slowdown(load.slowdown_percent, now_s)
+        query.record(headers, asked_at_s, now_s)
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -1,5 +1,6 @@
 """State of one mesh node: its components, routes and admission policy."""
 
+import functools
 import random
 import time
 from collections.abc import Mapping, Sequence
@@ -7,13 +8,14 @@
 
 import msgspec
 
-from carobmoor.admission import AdmissionPolicy, Gate, RankPolicy
+from carobmoor.admission import AdmissionPolicy, Gate, RankPolicy, RateLimit
 from carobmoor.mesh._backend import Backend
 from carobmoor.mesh._concurrency_limit import ConcurrencyLimit
 from carobmoor.mesh._datagrams import Load, NodeRecord
 from carobmoor.mesh._messages import HeaderNames, MeshSettings
 from carobmoor.mesh._peers import Peers
 from carobmoor.mesh._resend_budget import ResendBudget
+from carobmoor.mesh._server_reports import ReportTargets, record_report
 from carobmoor.mesh._slowdown import LoadQuery, SlowdownMonitor
 from carobmoor.mesh._typical_times import NodeTimes, TypicalTimes
 from carobmoor.quarantine import (
@@ -70,16 +72,16 @@
         self.peers = Peers(settings.availability_zone, settings.region)
         self.node_pool = ConnectionPool()
         self.backend_pool = ConnectionPool()
+        self.gate = Gate(AdmissionPolicy(1, _QUEUE_LIMIT, ()))
         self.slowdown_monitor = SlowdownMonitor(
             self.backend,
             LoadQuery(
                 self.backend_pool,
                 settings.backend_server,
-                names.load,
+                functools.partial(record_report, self.report_targets),
                 self.health_path,
             ),
         )
-        self.gate = Gate(AdmissionPolicy(1, _QUEUE_LIMIT, ()))
         self.pauses = PauseMonitor(time.monotonic())
         own_address = str(settings.node_address)
         mark_exchange = MarkExchange(
@@ -114,6 +116,16 @@
             )
         )
 
+    @property
+    def rate_limit(self) -> RateLimit:
+        """The rate limit that the own backend server names."""
+        return self.gate.state.rate_limit
+
+    @property
+    def report_targets(self) -> ReportTargets:
+        """Where the reports of the own backend server are recorded."""
+        return ReportTargets(self.names, self.backend, self.rate_limit)
+
     @property
     def version(self) -> int:
         """The version of the routes in force; 0 while there are none."""
--- a/carobmoor/mesh/tests/scripted.py
+++ b/carobmoor/mesh/tests/scripted.py
@@ -19,6 +19,7 @@
     b'x-load',
     b'x-not-run',
     b'x-caller-service',
+    b'x-rate-limit',
 )
 Serve = Callable[[IncomingRequest], Awaitable[None]]
 
--- a/carobmoor/platform/_names.py
+++ b/carobmoor/platform/_names.py
@@ -14,6 +14,8 @@
     load=b'x-carobmoor-server-load',
     not_run=b'x-carobmoor-not-executed',
     caller_service=b'x-carobmoor-caller-service',
+    # Requests a second, from all nodes together.
+    rate_limit=b'server-limit',
 )
 READY_PATH: Final = '/v1/ready'
 INSTANCES_PATH: Final = '/v1/instances/'
--- a/carobmoor/telemetry/_metrics.py
+++ b/carobmoor/telemetry/_metrics.py
@@ -80,6 +80,11 @@
             'The adaptive limit on slots in use, at most the declared slots.',
             registry=self.registry,
         )
+        self.rate_limit = Gauge(
+            'carobmoor_rate_limit_per_second',
+            'The rate limit that the backend server names; 0 if none.',
+            registry=self.registry,
+        )
         self.rank_slots_in_use = Gauge(
             'carobmoor_rank_slots_in_use',
             'Slots of the backend server in use, by rank.',
