--- a/carobmoor/mesh/tests/scripted.py
+++ b/carobmoor/mesh/tests/scripted.py
@@ -33,6 +33,8 @@
         self.received_requests: list[IncomingRequest] = []
         self.bodies: list[bytes] = []
         self.load = ''
+        # The rate limit that every answer names, if any.
+        self.rate_limit = ''
         self._serve = serve
         self._listener = Listener(self._handle, ServingLimits)
 
@@ -57,17 +59,20 @@
         request_id = get_header(request.headers, NAMES.request_id)
         id_header = (NAMES.request_id, request_id.encode())
         signed = (NAMES.signature, b'signed')
-        load_headers = ((NAMES.load, self.load.encode()),) if self.load else ()
         request.respond(
-            status, (id_header, signed, *load_headers, *extra), body
+            status, (id_header, signed, *self._reports(), *extra), body
         )
 
+    def _reports(self) -> Sequence[tuple[bytes, bytes]]:
+        """Return the headers with the load and the rate limit."""
+        reports = ((NAMES.load, self.load), (NAMES.rate_limit, self.rate_limit))
+        return [
+            (name, content.encode()) for name, content in reports if content
+        ]
+
     async def _handle(self, request: IncomingRequest) -> None:
         if request.target == b'/health':
-            load_headers = (
-                ((NAMES.load, self.load.encode()),) if self.load else ()
-            )
-            request.respond(200, load_headers)
+            request.respond(200, self._reports())
             return
         self.received_requests.append(request)
         if self._serve is None:
