Keep the starts on a backend server within the rate limit that it names

Cause: the owner decided by slots and slowdown alone. A limit in requests a second bounds starts over time, and no part of admission knew such a bound.

Change: `admission/_rate_limit.py` keeps the named limit as a token bucket, empty when a limit is first named. A start needs a token besides its slot, in the one place where starts are decided, so retries, hedges and calls of other servers count alike; a start that is not sent gives its token back. A waiting request that the limit can't start in time, or a newcomer that would make one late, is refused at once (`rate_limited`). Load reports carry the interval of starts and the wait for the next; the choice adds that wait, skips a server that can't start before the deadline, sends it no hedge, and an owner declines what would wait there. Retry-After is at least the shortest of these waits. A node that has just started allows four starts, and one each four seconds, until its server has answered once, health checks included; another run of the server has named no limit.

--- a/carobmoor/admission/__init__.py
+++ b/carobmoor/admission/__init__.py
@@ -10,6 +10,7 @@
     finish,
     offer,
     release,
+    release_unused,
     start_next,
     withdraw,
 )
@@ -44,6 +45,7 @@
     'offer',
     'read_rate_limit',
     'release',
+    'release_unused',
     'start_next',
     'withdraw',
 ]
--- a/carobmoor/admission/_choice.py
+++ b/carobmoor/admission/_choice.py
@@ -44,7 +44,12 @@
 
 
 def has_slot_for(state: AdmissionState, depth: int, now_s: float) -> bool:
-    """Return whether a slot is free that a call of this depth may take."""
+    """Return whether a call of this depth may start now.
+
+    A slot must be free for it, and the server's rate limit must allow it.
+    """
+    if not state.rate_limit.may_start(now_s):
+        return False
     return free_slots(state) > slots_reserved_for_deeper(state, depth, now_s)
 
 
--- a/carobmoor/admission/_decide.py
+++ b/carobmoor/admission/_decide.py
@@ -19,8 +19,9 @@
     Verdict,
 )
 from carobmoor.admission._nested import detect_blocked_chains, record_depth
-from carobmoor.admission._queue import QueueEntry, make_entry
+from carobmoor.admission._queue import QueueEntry, entries_in_order, make_entry
 from carobmoor.admission._ranks import RankState
+from carobmoor.admission._rate_limited_queue import find_unreachable
 from carobmoor.admission._state import AdmissionState, Running
 from carobmoor.outcomes import Code
 
@@ -87,6 +88,15 @@
     _free_slot(state, number, used_s, now_s)
 
 
+def release_unused(state: AdmissionState, number: int, now_s: float) -> None:
+    """Free a slot whose request was not sent to the backend server.
+
+    Raises `KeyError` if this number holds no slot.
+    """
+    if _free_slot(state, number, 0, now_s).is_rate_counted:
+        state.rate_limit.return_start()
+
+
 def start_next(state: AdmissionState, now_s: float) -> Sequence[SlotGrant]:
     """Start waiting requests while slots are free.
 
@@ -117,6 +127,12 @@
             if not is_expired:
                 code = Code.DEADLINE_UNREACHABLE
             dropped.append(Drop(entry.number, entry.arrival, code))
+        for late in find_unreachable(
+            state, rank, entries_in_order(rank.queue), now_s
+        ):
+            rank.queue.remove(late.number)
+            state.queued_total -= 1
+            dropped.append(Drop(late.number, late.arrival, Code.RATE_LIMITED))
     return dropped
 
 
@@ -164,6 +180,10 @@
     )
     if _is_deadline_unreachable(state, rank, entry, now_s):
         return Err(Code.DEADLINE_UNREACHABLE)
+    if find_unreachable(
+        state, rank, entries_in_order(rank.queue, entry), now_s
+    ):
+        return Err(Code.RATE_LIMITED)
     evicted: Drop | None = None
     if state.queued_total >= state.policy.queue_limit:
         victim = rank_to_evict_from(state, arrival)
@@ -212,4 +232,10 @@
     rank.change_in_flight(1, now_s)
     rank.queue.charge(arrival.caller, charged_s, 1)
     is_saturated = free_slots(state) <= 1
-    state.running[number] = Running(arrival, charged_s, on_credit, is_saturated)
+    state.running[number] = Running(
+        arrival,
+        charged_s,
+        on_credit,
+        is_saturated,
+        state.rate_limit.take_start(now_s),
+    )
--- a/carobmoor/admission/_gate.py
+++ b/carobmoor/admission/_gate.py
@@ -13,6 +13,7 @@
     finish,
     offer,
     release,
+    release_unused,
     start_next,
     withdraw,
 )
@@ -117,7 +118,7 @@
 
         No service time is charged or recorded.
         """
-        release(self.state, grant.number, 0, self._clock())
+        release_unused(self.state, grant.number, self._clock())
         self.expire_and_start()
 
     async def wait_idle(self) -> None:
--- a/carobmoor/admission/_queue.py
+++ b/carobmoor/admission/_queue.py
@@ -61,13 +61,13 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._entries: dict[int, QueueEntry] = {}
+        self.entries: dict[int, QueueEntry] = {}
         self._callers: dict[str, CallerQueue] = {}
         # By depth: (used_s, caller) of each caller with on-time requests.
         self._callers_by_depth: dict[int, SortedList] = {}
         # (-depth, deadline_s, number) of each late request.
-        self._late: SortedList = SortedList()
-        self._on_time: SortedList = SortedList()
+        self.late: SortedList = SortedList()
+        self.on_time: SortedList = SortedList()
         self._drop_times: SortedList = SortedList()
         # (waiting, caller), to find the caller with the most requests.
         self._waiting_counts: SortedList = SortedList()
@@ -75,14 +75,14 @@
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return len(self._entries)
+        return len(self.entries)
 
     @property
     def next_depth(self) -> int:
         """The depth of the next request; `IndexError` if the queue is empty."""
         if self._callers_by_depth:
             return max(self._callers_by_depth)
-        return -int(self._late[0][0])
+        return -int(self.late[0][0])
 
     def count_ahead_of(self, entry: QueueEntry) -> int:
         """Return how many on-time requests of its caller and depth go first."""
@@ -94,15 +94,15 @@
 
     def push(self, entry: QueueEntry) -> None:
         """Add a request as on time; `demote_and_expire` checks that later."""
-        self._entries[entry.number] = entry
+        self.entries[entry.number] = entry
         self._drop_times.add((entry.drop_at_s, entry.number))
-        self._on_time.add((entry.late_at_s, entry.number))
+        self.on_time.add((entry.late_at_s, entry.number))
         self._add_on_time(entry)
 
     def pop(self) -> QueueEntry:
         """Remove and return the next request; `IndexError` if empty."""
         if not self._callers_by_depth:
-            return self.remove(self._late[0][-1])
+            return self.remove(self.late[0][-1])
         depth = max(self._callers_by_depth)
         used_s, name = self._callers_by_depth[depth][0]
         self._virtual_time_s = max(self._virtual_time_s, used_s)
@@ -111,26 +111,26 @@
 
     def remove(self, number: int) -> QueueEntry:
         """Remove and return one request; `KeyError` if it doesn't wait."""
-        entry = self._entries.pop(number)
+        entry = self.entries.pop(number)
         self._drop_times.remove((entry.drop_at_s, number))
-        if (entry.late_at_s, number) in self._on_time:
-            self._on_time.remove((entry.late_at_s, number))
+        if (entry.late_at_s, number) in self.on_time:
+            self.on_time.remove((entry.late_at_s, number))
             self._remove_on_time(entry)
         else:
-            self._late.remove(_late_key(entry))
+            self.late.remove(_late_key(entry))
         return entry
 
     def has(self, number: int) -> bool:
         """Return whether a request waits."""
-        return number in self._entries
+        return number in self.entries
 
     def demote_and_expire(self, now_s: float) -> Sequence[QueueEntry]:
         """Mark requests as late, and remove those to drop and return them."""
-        while self._on_time and self._on_time[0][0] <= now_s:
-            _, number = self._on_time.pop(0)
-            entry = self._entries[number]
+        while self.on_time and self.on_time[0][0] <= now_s:
+            _, number = self.on_time.pop(0)
+            entry = self.entries[number]
             self._remove_on_time(entry)
-            self._late.add(_late_key(entry))
+            self.late.add(_late_key(entry))
         dropped: list[QueueEntry] = []
         while self._drop_times and self._drop_times[0][0] <= now_s:
             dropped.append(self.remove(self._drop_times[0][1]))
@@ -143,8 +143,8 @@
         depth, of the caller with the most waiting. Raises `IndexError` if the
         queue is empty.
         """
-        if self._late:
-            return self.remove(self._late[-1][-1])
+        if self.late:
+            return self.remove(self.late[-1][-1])
         backlogs = self._callers[self._waiting_counts[-1][1]].by_depth
         return self.remove(backlogs[min(backlogs)][-1][1])
 
@@ -154,8 +154,8 @@
         It may if a request is late, or if its caller would still have fewer
         waiting than the caller with the most.
         """
-        if self._late or not self._waiting_counts:
-            return bool(self._late)
+        if self.late or not self._waiting_counts:
+            return bool(self.late)
         own = self._callers.get(caller)
         own_waiting = 0 if own is None else own.waiting
         return own_waiting + 1 < int(self._waiting_counts[-1][0])
@@ -216,6 +216,20 @@
         return caller_queue
 
 
+def entries_in_order(
+    queue: RankQueue, newcomer: QueueEntry | None = None
+) -> list[QueueEntry]:
+    """Return the requests as if they were all of one caller and depth.
+
+    A newcomer that does not wait yet is included, as on time.
+    """
+    on_time = [queue.entries[number] for _, number in queue.on_time]
+    if newcomer is not None:
+        on_time.append(newcomer)
+        on_time.sort(key=lambda entry: (entry.late_at_s, entry.number))
+    return on_time + [queue.entries[key[-1]] for key in queue.late]
+
+
 def make_entry(
     number: int,
     arrival: Arrival,
--- a/carobmoor/admission/_rate_limit.py
+++ b/carobmoor/admission/_rate_limit.py
@@ -13,9 +13,8 @@
 # A server that names a lower rate gets this one: its answers alone tell when
 # the limit ends.
 _MIN_RATE_PER_S: Final = 0.25
-# Starts before the first answer. A node that restarts does not know the limit
-# that its server has named before.
-_MAX_UNANSWERED_STARTS: Final = 4
+# Starts of a node before the first answer, besides those at the lowest rate.
+_UNANSWERED_STARTS: Final = 4
 
 
 def read_rate_limit(content: str) -> float | None:
@@ -30,47 +29,108 @@
 class RateLimit:
     """The named limit and the starts that it allows, as a token bucket.
 
-    A limit holds until an answer to a later request names none; `None` stands
-    for an answer without one. The bucket is
-    empty when a limit is first named, since the server is in need.
+    A limit holds until an answer to a later request names none, or until
+    another server takes the place. The bucket is empty when a limit is first
+    named, since the server is in need.
     """
 
     def __init__(self) -> None:
-        """Start without an answer, and so without a known limit."""
+        """Start without a limit."""
         # The named limit; zero if none is named.
         self.per_s = float(0)
-        self._has_answer = False
-        self._unanswered_starts = 0
+        self._server = ''
+        # Whether it is known if the server names a limit.
+        self._is_known = True
         # When the last answer that changed the limit was received.
         self._changed_at_s = -math.inf
         self._tokens = float(0)
         self._accrued_at_s = float(0)
 
+    def expect_first_answer(self, now_s: float) -> None:
+        """Allow only a few starts until an answer tells if there is a limit.
+
+        For a node that has just started: its server may be in need, and may
+        have said so to an earlier start of the node only.
+        """
+        self._is_known = False
+        self._tokens = float(_UNANSWERED_STARTS)
+        self._accrued_at_s = now_s
+
     def record_answer(
         self, named_per_s: float | None, sent_at_s: float, now_s: float
     ) -> bool:
         """Record the limit that an answer names; return whether it changed.
 
-        An answer to a request that was sent before the last change may be
-        older than it, so it can only lower the limit.
+        `None` stands for an answer without a limit. An answer to a request
+        that was sent before the last change may be older than it, so it can
+        only lower the limit.
         """
-        self._has_answer = True
+        if not self._is_known:
+            self._is_known = True
+            self._tokens = 0
         per_s = 0 if named_per_s is None else max(named_per_s, _MIN_RATE_PER_S)
         is_lower = bool(per_s) and (not self.per_s or per_s < self.per_s)
         is_later = sent_at_s >= self._changed_at_s
         if per_s == self.per_s or not (is_lower or is_later):
             return False
-        if self.per_s:
-            self._accrue(now_s)
-        else:
-            self._tokens = 0
-        self._accrued_at_s = now_s
+        self._accrue(now_s)
         self._changed_at_s = now_s
         self.per_s = per_s
         return True
 
+    def follow_server(self, server: str) -> None:
+        """Forget the limit if another server, or another run, took the place.
+
+        `server` identifies the run of the server.
+        """
+        if server != self._server:
+            self._server = server
+            self.per_s = 0
+
+    def may_start(self, now_s: float) -> bool:
+        """Return whether a request may start now."""
+        self._accrue(now_s)
+        return self._is_free or self._tokens >= 1
+
+    def take_start(self, now_s: float) -> bool:
+        """Count a start; return whether it was one of a limited number."""
+        self._accrue(now_s)
+        if self._is_free:
+            return False
+        self._tokens -= 1
+        return True
+
+    def return_start(self) -> None:
+        """Return a start that was counted and then not used."""
+        if not self._is_free:
+            self._tokens += 1
+
+    def wait_s(self, ahead: int, now_s: float) -> float:
+        """Return when a request may start that has so many ahead of it.
+
+        It is a time from now: zero if the limit allows a start at once.
+        """
+        if not self.per_s:
+            return 0
+        self._accrue(now_s)
+        return max(0, ahead + 1 - self._tokens) / self.per_s
+
+    @property
+    def _is_free(self) -> bool:
+        """Whether any number of requests may start."""
+        return self._is_known and not self.per_s
+
     def _accrue(self, now_s: float) -> None:
+        """Add the tokens of the time since the last call."""
         passed_s = max(0, now_s - self._accrued_at_s)
-        burst = max(_MIN_BURST, self.per_s * _BURST_S)
-        self._tokens = min(burst, self._tokens + passed_s * self.per_s)
-        self._accrued_at_s = now_s
+        self._accrued_at_s = max(now_s, self._accrued_at_s)
+        if self._is_free:
+            # Nothing is saved up before a limit is named.
+            self._tokens = 0
+            return
+        if self._is_known:
+            burst = max(_MIN_BURST, self.per_s * _BURST_S)
+        else:
+            burst = _UNANSWERED_STARTS
+        per_s = self.per_s or _MIN_RATE_PER_S
+        self._tokens = min(burst, self._tokens + passed_s * per_s)
--- /dev/null
+++ b/carobmoor/admission/_rate_limited_queue.py
@@ -0,0 +1,46 @@
+"""Waiting requests that the rate limit of their server starts too late."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from carobmoor.admission._queue import QueueEntry
+from carobmoor.admission._ranks import RankState
+from carobmoor.admission._state import AdmissionState
+
+# Covers the interval at which waiting requests are started, and the hop back.
+_START_MARGIN_S: Final = 0.05
+
+
+def find_unreachable(
+    state: AdmissionState,
+    rank: RankState,
+    entries: Iterable[QueueEntry],
+    now_s: float,
+) -> list[QueueEntry]:
+    """Return which of a rank's requests, in their order, start too late.
+
+    The requests of more urgent ranks go first. Without a limit, the list is
+    empty. A newcomer that makes any of them late is to be refused, since those
+    that wait have been accepted.
+    """
+    if not state.rate_limit.per_s:
+        return []
+    ahead = _count_more_urgent(state, rank)
+    unreachable: list[QueueEntry] = []
+    for entry in entries:
+        starts_at_s = now_s + state.rate_limit.wait_s(ahead, now_s)
+        if starts_at_s + _START_MARGIN_S >= entry.drop_at_s:
+            unreachable.append(entry)
+        else:
+            ahead += 1
+    return unreachable
+
+
+def _count_more_urgent(state: AdmissionState, rank: RankState) -> int:
+    """Return how many requests of more urgent ranks wait."""
+    waiting = 0
+    for other in state.ranks.values():
+        if other is rank:
+            break
+        waiting += len(other.queue)
+    return waiting
--- a/carobmoor/admission/_state.py
+++ b/carobmoor/admission/_state.py
@@ -20,6 +20,8 @@
     is_on_credit: bool
     # Whether its start used the last slot under the limit.
     is_saturated: bool
+    # Whether its start counted towards the server's rate limit.
+    is_rate_counted: bool
 
 
 class AdmissionState:
--- a/carobmoor/burn/_causes.py
+++ b/carobmoor/burn/_causes.py
@@ -8,7 +8,12 @@
 
 _STRAGGLER_FACTOR: Final = 4
 _QUEUEING_CODES: Final = frozenset(
-    (Code.DEADLINE_LAPSED, Code.DEADLINE_UNREACHABLE, Code.QUEUE_FULL),
+    (
+        Code.DEADLINE_LAPSED,
+        Code.DEADLINE_UNREACHABLE,
+        Code.QUEUE_FULL,
+        Code.RATE_LIMITED,
+    ),
 )
 _ANSWER_STEPS: Final = frozenset(('awaiting_answer', 'answer_body'))
 _CALLER_FAULT_CODES: Final = frozenset(
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -7,9 +7,13 @@
 import xxhash
 from result import Err, Ok, Result
 
-from carobmoor.mesh._choose import RequestProfile, choose
+from carobmoor.mesh._choose import RequestProfile, choose, start_wait_ms
 from carobmoor.mesh._datagrams import LOAD_HEADER, Load, decode_datagram
-from carobmoor.mesh._fresh_loads import refresh_loads, refresh_remote
+from carobmoor.mesh._fresh_loads import (
+    refresh_loads,
+    refresh_remote,
+    update_own_load,
+)
 from carobmoor.mesh._hop import HOP_HEADER, Hop, encode_hop
 from carobmoor.mesh._owner import run_on_backend
 from carobmoor.mesh._owner_request import (
@@ -89,6 +93,7 @@
         _OTHER_REGION_MS + size_kb * _OTHER_REGION_MS_PER_KB,
         size_kb * _SAME_REGION_MS_PER_KB,
         pending.tried,
+        pending.remaining_s * _MS_PER_S,
     )
     candidates = node.peers.for_service(pending.service)
     await refresh_loads(node, profile, candidates)
@@ -98,17 +103,19 @@
         chosen = _choose_now(node, profile, known)
     if chosen is not None:
         pending.chosen = _inputs_of(chosen, time.monotonic())
+    elif any(peer.address not in pending.tried for peer in candidates):
+        # Only rate limits keep the choice from a candidate.
+        pending.record_failure(
+            NotRun(Code.RATE_LIMITED, 'choice', pending.service)
+        )
     return chosen
 
 
 def _choose_now(
     node: MeshNode, profile: RequestProfile, candidates: Sequence[Peer]
 ) -> Peer | None:
-    now_s = time.monotonic()
-    for peer in candidates:
-        if peer.is_self:
-            peer.record_load(node.load(now_s), now_s)
-    return choose(candidates, profile, now_s, node.rng)
+    update_own_load(node)
+    return choose(candidates, profile, time.monotonic(), node.rng)
 
 
 def _inputs_of(peer: Peer, now_s: float) -> Mapping[str, object]:
@@ -123,6 +130,8 @@
         inputs['pace_percent'] = load.slowdown_percent
         inputs['base_percent'] = load.baseline_percent
         inputs['busy'] = load.running + load.waiting
+        if load.start_interval_ms:
+            inputs['start_wait_ms'] = int(start_wait_ms(peer, now_s))
         inputs['age_ms'] = int((now_s - peer.load_received_at_s) * _MS_PER_S)
     return inputs
 
--- a/carobmoor/mesh/_choose.py
+++ b/carobmoor/mesh/_choose.py
@@ -39,6 +39,8 @@
     # The same for another zone of the region.
     same_region_cost_ms: float
     tried: Collection[Address] = ()
+    # Time until its deadline.
+    remaining_ms: float = float('inf')
 
 
 def choose(
@@ -49,14 +51,17 @@
 ) -> Peer | None:
     """Return the candidate with the earliest predicted finish, or `None`.
 
-    Candidates that were already tried are skipped. One that seems to be down
-    is chosen only when there is no other.
+    Candidates that were already tried are skipped, and those whose rate limit
+    leaves no start before the deadline. One that seems to be down is chosen
+    only when there is no other.
     """
     best: Peer | None = None
     best_ms = float('inf')
     for peer in candidates:
         if peer.address in profile.tried:
             continue
+        if start_wait_ms(peer, now_s) >= profile.remaining_ms:
+            continue
         cost_ms = predict_ms(peer, profile, now_s)
         cost_ms += _NOISE_MS * rng.random()
         if peer.avoided_until_s > now_s:
@@ -94,16 +99,32 @@
     ]
 
 
-def is_idle(peer: Peer) -> bool:
+def is_idle(peer: Peer, now_s: float) -> bool:
     """Return whether a server would start a request now and is not slow."""
     load = peer.load
     if load is None:
         return False
     is_steady = load.slowdown_percent <= load.baseline_percent * _STEADY_RATIO
     outstanding = max(peer.in_flight, load.running + load.waiting)
+    if start_wait_ms(peer, now_s):
+        return False
     return is_steady and outstanding < peer.concurrency_limit
 
 
+def start_wait_ms(peer: Peer, now_s: float) -> float:
+    """Predict how long the rate limit of a server delays one more request.
+
+    Zero without a limit. Requests sent since the last report are counted.
+    """
+    load = peer.load
+    if load is None or not load.start_interval_ms:
+        return 0
+    age_ms = (now_s - peer.load_received_at_s) * _MS_PER_S
+    sent_since = max(0, peer.in_flight - peer.in_flight_at_report)
+    wait_ms = load.start_wait_ms + sent_since * load.start_interval_ms
+    return max(0, wait_ms - age_ms)
+
+
 def predict_ms(peer: Peer, profile: RequestProfile, now_s: float) -> float:
     """Predict the cost of a request on a peer, as a delay.
 
@@ -114,7 +135,10 @@
     unknown_share = _unknown_share(peer, now_s)
     outstanding = _outstanding(peer, 1 - unknown_share)
     queued_ahead = max(0, outstanding + 1 - peer.concurrency_limit)
-    queue_ms = base_ms * queued_ahead / peer.concurrency_limit
+    queue_ms = max(
+        base_ms * queued_ahead / peer.concurrency_limit,
+        start_wait_ms(peer, now_s),
+    )
     success = max(_MIN_SUCCESS_RATE, _success_rate(peer, now_s))
     failure_cost_ms = (1 - success) / success * _FAILURE_COST_MS
     network_ms = (
--- a/carobmoor/mesh/_datagrams.py
+++ b/carobmoor/mesh/_datagrams.py
@@ -69,6 +69,10 @@
     has_store: bool = True
     # Concurrency limit of the backend server; 0 if unknown.
     concurrency_limit: int = 0
+    # Time between two starts under the server's rate limit; 0 without one.
+    start_interval_ms: int = 0
+    # Time until the limit allows the start of one more request.
+    start_wait_ms: int = 0
 
 
 class Query(msgspec.Struct, array_like=True, frozen=True, tag='q'):
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -153,7 +153,8 @@
     until_s = time.monotonic() + pending.remaining_s * _WAIT_SHARE
     while True:
         peer = await choose_peer(node, pending)
-        if peer is not None or pending.tried or time.monotonic() > until_s:
+        is_decided = peer is not None or pending.tried or pending.last_failure
+        if is_decided or time.monotonic() > until_s:
             return peer
         await asyncio.sleep(_POLL_S)
 
--- a/carobmoor/mesh/_fresh_loads.py
+++ b/carobmoor/mesh/_fresh_loads.py
@@ -46,7 +46,8 @@
     ]
     unanswered = {_ask(node, peer) for peer in asked}
     while unanswered and not any(
-        is_idle(peer) and not _is_stale(peer) for peer in asked
+        is_idle(peer, time.monotonic()) and not _is_stale(peer)
+        for peer in asked
     ):
         wait_s = until_s - time.monotonic()
         if wait_s <= 0:
@@ -58,6 +59,14 @@
         )
 
 
+def update_own_load(node: MeshNode) -> None:
+    """Record the present load of the own server as that of a peer."""
+    now_s = time.monotonic()
+    own = node.peers.find_by_ip(node.settings.ip)
+    if own is not None:
+        own.record_load(node.load(now_s), now_s)
+
+
 async def refresh_remote(
     node: MeshNode, chosen: Peer, candidates: Sequence[Peer]
 ) -> Sequence[Peer]:
--- a/carobmoor/mesh/_hedge.py
+++ b/carobmoor/mesh/_hedge.py
@@ -108,6 +108,9 @@
     if first.done() or hedge_peer is None or hedge_peer.avoided_until_s > now_s:
         return None
     load = hedge_peer.load
+    if load is not None and load.start_interval_ms:
+        # A server in need gets no request that another one already has.
+        return None
     outstanding = (
         hedge_peer.in_flight if load is None else load.running + load.waiting
     )
--- a/carobmoor/mesh/_responses.py
+++ b/carobmoor/mesh/_responses.py
@@ -1,9 +1,12 @@
 """Answers that the node makes itself."""
 
+import time
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Final
 
+from carobmoor.mesh._choose import start_wait_ms
+from carobmoor.mesh._fresh_loads import update_own_load
 from carobmoor.mesh._pending_request import PendingRequest
 from carobmoor.mesh._request_log import record_end
 from carobmoor.mesh._state import MeshNode
@@ -57,10 +60,25 @@
 
 
 def _retry_after_s(node: MeshNode, pending: PendingRequest) -> float:
+    """Return when a caller may come back.
+
+    That is when a slot is likely to be free, and not before the rate limit of
+    some server of the service allows a start.
+    """
     typical_ms = node.times.response_times.typical_ms(pending.route.name)
     after_s = _RETRY_AFTER_SHARE * typical_ms / _MS_PER_S
     spread = 1 + _RETRY_AFTER_SPREAD * (2 * node.rng.random() - 1)
-    return max(_MIN_RETRY_AFTER_S, after_s) * spread
+    slot_s = max(_MIN_RETRY_AFTER_S, after_s) * spread
+    update_own_load(node)
+    now_s = time.monotonic()
+    start_s = min(
+        (
+            start_wait_ms(peer, now_s) / _MS_PER_S
+            for peer in node.peers.for_service(pending.service)
+        ),
+        default=0,
+    )
+    return max(slot_s, start_s * (1 + _RETRY_AFTER_SPREAD * node.rng.random()))
 
 
 def respond_unavailable(
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -73,6 +73,7 @@
         self.node_pool = ConnectionPool()
         self.backend_pool = ConnectionPool()
         self.gate = Gate(AdmissionPolicy(1, _QUEUE_LIMIT, ()))
+        self.rate_limit.expect_first_answer(time.monotonic())
         self.slowdown_monitor = SlowdownMonitor(
             self.backend,
             LoadQuery(
@@ -172,8 +173,18 @@
             int(backend.success.rate_at(now_s) * _PERMILLE),
             self.store_availability.has_store,
             self.backend.concurrency_limit.current(now_s),
+            self._start_interval_ms,
+            int(
+                self.rate_limit.wait_s(self.gate.state.queued_total, now_s)
+                * _MS_PER_S
+            ),
         )
 
+    @property
+    def _start_interval_ms(self) -> int:
+        per_s = self.rate_limit.per_s
+        return max(1, int(_MS_PER_S / per_s)) if per_s else 0
+
     def limits(self) -> ServingLimits:
         """Return the limits that currently apply to callers' requests."""
         if self.table is None:
@@ -240,9 +251,12 @@
     def update_admission(self) -> None:
         """Update slots and ranks from the concurrency limit and the routes.
 
-        A changed number of announced slots starts a new concurrency limit.
+        A changed number of announced slots starts a new concurrency limit, and
+        another run of the server has named no rate limit.
         """
         last = self.backend.last_announcement
+        if last is not None:
+            self.rate_limit.follow_server(f'{last.instance_id} {last.born_ms}')
         if (
             last is not None
             and last.slots != self.backend.concurrency_limit.slots
--- a/carobmoor/mesh/tests/test_rate_limit.py
+++ b/carobmoor/mesh/tests/test_rate_limit.py
@@ -3,9 +3,9 @@
 import asyncio
 import time
 
-from carobmoor.mesh.tests.fixtures import Mesh
+from carobmoor.mesh.tests.fixtures import Mesh, NodeWithServer
 from carobmoor.mesh.tests.test_membership import run
-from carobmoor.transport import IncomingRequest
+from carobmoor.transport import IncomingRequest, JsonAnswer, get_header
 
 RATE_PER_S = 10
 WINDOW_S = 1.0
@@ -13,6 +13,9 @@
 # Simultaneous requests of one round, from two nodes.
 ROUND = 4
 PAUSE_S = 0.05
+DEADLINE_MS = 3000
+# What waits already takes longer than this.
+MIN_WAIT_S = 1
 OK = 200
 NOT_RUN = 503
 
@@ -26,12 +29,12 @@
     )
 
 
-async def ask_in_rounds(mesh: Mesh) -> list[int]:
-    """Send requests to the first two nodes; return the statuses."""
+async def ask_in_rounds(mesh: Mesh, nodes: int) -> list[int]:
+    """Send requests to the first nodes; return the statuses."""
     asked = []
     for number in range(ROUNDS):
         for place in range(ROUND):
-            pair = mesh.nodes[place % 2]
+            pair = mesh.nodes[place % nodes]
             name = f'request-{number}-{place}'
             asked.append(asyncio.ensure_future(mesh.ask(pair, request_id=name)))
         await asyncio.sleep(PAUSE_S)
@@ -57,12 +60,12 @@
 
 # Guards against a server that gets more requests than the rate limit that it
 # names, though another server could take them.
-def test_named_rate_limit_moves_requests_elsewhere():
+def test_named_limit_moves_requests():
     """What exceeds the limit of one server is served by another."""
 
     async def check(mesh: Mesh) -> None:
         await _name_limits(mesh, str(RATE_PER_S), '')
-        statuses = await ask_in_rounds(mesh)
+        statuses = await ask_in_rounds(mesh, nodes=2)
         limited, free = (pair.backend.received_requests for pair in mesh.nodes)
         assert set(statuses) == {OK}
         assert most_in_window(limited) <= 1.5 * RATE_PER_S * WINDOW_S + 5
@@ -72,24 +75,69 @@
 
 
 # Guards against requests that wait at a limited server until their deadline
-# passes, or whose callers are not told when to return.
-def test_what_exceeds_every_rate_limit_is_refused_at_once():
+# passes, or whose callers are not told when they may return.
+def test_excess_is_refused_at_once():
     """Callers hear "not run" before their deadline, and when to return."""
 
     async def check(mesh: Mesh) -> None:
         await _name_limits(mesh, '2', '2')
-        started_s = time.monotonic()
         asked = [
-            mesh.ask(
-                mesh.nodes[place % 2], deadline_ms=3000, request_id=f'{place}'
-            )
-            for place in range(40)
+            _ask_timed(mesh, mesh.nodes[place % 2], f'request-{place}')
+            for place in range(ROUNDS)
         ]
-        answers = await asyncio.gather(*asked)
-        refused = [one for one in answers if one.head.status == NOT_RUN]
-        assert len(refused) >= 20
+        answered = await asyncio.gather(*asked)
+        refused = [
+            (one, took_s) for one, took_s in answered if one.head.status != OK
+        ]
+        assert {one.head.status for one, _ in refused} == {NOT_RUN}
+        for one, took_s in refused:
+            assert took_s < DEADLINE_MS / 1000
+            retry_after = get_header(one.head.headers, b'retry-after')
+            assert float(retry_after) >= MIN_WAIT_S
         for pair in mesh.nodes:
             received = pair.backend.received_requests
             assert most_in_window(received) <= 1.5 * 2 * WINDOW_S + 5
 
     run(check, 2)
+
+
+async def _ask_timed(
+    mesh: Mesh, pair: NodeWithServer, name: str
+) -> tuple[JsonAnswer, float]:
+    started_s = time.monotonic()
+    answer = await mesh.ask(pair, deadline_ms=DEADLINE_MS, request_id=name)
+    return answer, time.monotonic() - started_s
+
+
+# Guards against a node that restarts beside a server in need and sends it all
+# that waits, since it has not seen the limit.
+def test_restarted_owner_learns_limit_first():
+    """Until the first answer, a few requests are sent at most."""
+
+    async def check(mesh: Mesh) -> None:
+        pair = mesh.nodes[0]
+        pair.backend.rate_limit = '2'
+        asked = [
+            mesh.ask(pair, deadline_ms=DEADLINE_MS, request_id=f'{place}')
+            for place in range(ROUNDS)
+        ]
+        await asyncio.gather(*asked)
+        received = pair.backend.received_requests
+        assert most_in_window(received) <= 1.5 * 2 * WINDOW_S + 5
+
+    run(check, 1)
+
+
+# Guards against a limit that is still followed after the server has ended it.
+def test_limit_ends_with_answer_without_it():
+    """The first answer to a later request that names no limit ends it."""
+
+    async def check(mesh: Mesh) -> None:
+        await _name_limits(mesh, '1')
+        pair = mesh.nodes[0]
+        pair.backend.rate_limit = ''
+        await mesh.wait_until(lambda: not pair.node.rate_limit.per_s)
+        statuses = await ask_in_rounds(mesh, nodes=1)
+        assert set(statuses) == {OK}
+
+    run(check, 1)
