Stop sending to a server whose answers say that it leaves

A server that says so in its answers, and whose announcement is late or lost, went on getting requests.

Cause: leaving was read from announcements alone. It is the class of the named limit: a server's word in an answer that no decision used.

Change: the owner reads it with the other reports, from answers and health checks, for the instance that was asked. A node that has passed such an answer on keeps that run of the server in mind, so a record of an owner that has forgotten it changes nothing. A node that has just started asks its server once before the first start, for the rate limit as well.

--- a/carobmoor/admission/_rate_limit.py
+++ b/carobmoor/admission/_rate_limit.py
@@ -40,7 +40,7 @@
         self.per_s = float(0)
         self._server = ''
         # Whether it is known if the server names a limit.
-        self._is_known = True
+        self.is_known = True
         # When the last answer that changed the limit was received.
         self._changed_at_s = -math.inf
         self._tokens = float(0)
@@ -52,7 +52,7 @@
         For a node that has just started: its server may be in need, and may
         have said so to an earlier start of the node only.
         """
-        self._is_known = False
+        self.is_known = False
         self._tokens = float(_UNANSWERED_STARTS)
         self._accrued_at_s = now_s
 
@@ -65,8 +65,8 @@
         that was sent before the last change may be older than it, so it can
         only lower the limit.
         """
-        if not self._is_known:
-            self._is_known = True
+        if not self.is_known:
+            self.is_known = True
             self._tokens = 0
         per_s = 0 if named_per_s is None else max(named_per_s, _MIN_RATE_PER_S)
         is_lower = bool(per_s) and (not self.per_s or per_s < self.per_s)
@@ -118,7 +118,7 @@
     @property
     def _is_free(self) -> bool:
         """Whether any number of requests may start."""
-        return self._is_known and not self.per_s
+        return self.is_known and not self.per_s
 
     def _accrue(self, now_s: float) -> None:
         """Add the tokens of the time since the last call."""
@@ -128,7 +128,7 @@
             # Nothing is saved up before a limit is named.
             self._tokens = 0
             return
-        if self._is_known:
+        if self.is_known:
             burst = max(_MIN_BURST, self.per_s * _BURST_S)
         else:
             burst = _UNANSWERED_STARTS
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -23,6 +23,7 @@
 )
 from carobmoor.mesh._peers import Peer
 from carobmoor.mesh._pending_request import PendingRequest
+from carobmoor.mesh._server_reports import says_leaving
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import (
     OUTCOME_HEADER,
@@ -157,15 +158,22 @@
         xxhash.xxh64_hexdigest(pending.body.buffered),
     )
     headers = _headers_of(node, pending)
+    server_run = peer.server_run
+    sent: Result[StreamedAnswer, Failure]
     peer.in_flight += 1
     try:
         if peer.is_self:
-            return await run_on_backend(
+            sent = await run_on_backend(
                 node, _owner_request(node, pending, hop, headers)
             )
-        return await _send_to(node, pending, peer, hop, headers)
+        else:
+            sent = await _send_to(node, pending, peer, hop, headers)
     finally:
         peer.in_flight -= 1
+    if isinstance(sent, Ok) and says_leaving(node.names, sent.ok_value.headers):
+        # Kept here too, since the owner may restart without knowing it.
+        node.peers.record_leaving(peer.address, server_run)
+    return sent
 
 
 def _may_decline(node: MeshNode, pending: PendingRequest, peer: Peer) -> bool:
--- a/carobmoor/mesh/_backend.py
+++ b/carobmoor/mesh/_backend.py
@@ -112,6 +112,19 @@
             or before.slots != announcement.slots
         )
 
+    def record_leaving(self, instance_id: str) -> bool:
+        """Record that an instance says in an answer that it leaves.
+
+        Returns whether that changes its status. It never becomes ready again,
+        whatever it announces.
+        """
+        last = self.last_announcement
+        if last is None or not self.is_ready or last.instance_id != instance_id:
+            return False
+        self._left_runs.add(_run_key(last))
+        self.last_announcement = last._replace(status=ServerStatus.LEAVING)
+        return True
+
     def restore(self, known: Announcement) -> None:
         """Restore what the store kept from an earlier run of this node."""
         if known.status is not ServerStatus.READY:
--- a/carobmoor/mesh/_backend_call.py
+++ b/carobmoor/mesh/_backend_call.py
@@ -7,7 +7,7 @@
 
 from carobmoor.mesh._hop import HOP_HEADER
 from carobmoor.mesh._owner_request import OwnerRequest, failure_from_call
-from carobmoor.mesh._server_reports import record_report
+from carobmoor.mesh._server_reports import AskedServer, record_report
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
 from carobmoor.transport import (
@@ -64,7 +64,7 @@
 def check_answer(
     node: MeshNode,
     sent: Result[Answer, CallFailure],
-    sent_at_s: float,
+    asked: AskedServer,
     deadline_s: float,
 ) -> Result[Answer, Failure]:
     """Return the answer if it may be passed on, otherwise a failure.
@@ -77,7 +77,7 @@
             node.backend.success.record_outcome(False, now_s)
         return Err(failure_from_call(sent.err_value))
     answer = sent.ok_value
-    record_report(node.report_targets, answer.head.headers, sent_at_s, now_s)
+    record_report(node.report_targets, answer.head.headers, asked, now_s)
     failure = _failure_of_answer(node, answer)
     if failure is None:
         return Ok(answer)
--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -94,6 +94,9 @@
 
     def tick(self, now_s: float) -> None:
         """Send the load updates and hellos that are due at `now_s`."""
+        own_peer = self._node.peers.find_by_ip(self._node.settings.ip)
+        if own_peer is not None and own_peer.record != self._node.record():
+            self.notify_change()
         is_newer = self._node.version != self._sent_version
         region = [
             peer
--- a/carobmoor/mesh/_messages.py
+++ b/carobmoor/mesh/_messages.py
@@ -18,6 +18,7 @@
     not_run: bytes
     caller_service: bytes
     rate_limit: bytes
+    leaving: bytes
 
 
 class MeshBounds(NamedTuple):
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -11,6 +11,7 @@
 from carobmoor.admission import SlotGrant
 from carobmoor.mesh._backend_call import check_answer, send_to_backend
 from carobmoor.mesh._owner_request import OwnerRequest, cancel_when_lost
+from carobmoor.mesh._server_reports import AskedServer
 from carobmoor.mesh._slot_wait import (
     Deadlines,
     acquire_slot_when_fast,
@@ -127,6 +128,9 @@
     its caller is gone before it starts.
     """
     await wait_after_pause(node)
+    if not node.rate_limit.is_known:
+        # After a start of this node, its server may be in need or leave.
+        await node.slowdown_monitor.refresh()
     refusal = _ownership_refusal(node, owner_request)
     if refusal is not None:
         return Err(refusal)
@@ -232,6 +236,7 @@
     deadline_s: float,
 ) -> Result[BackendAnswer, Failure]:
     node.quarantine.crash_detector.start(active.permit)
+    asked = AskedServer(active.started_s, node.backend.instance_id)
     sending = send_to_backend(
         node, owner_request, deadline_s - active.started_s
     )
@@ -242,7 +247,7 @@
             sent = await cancel_when_lost(owner_request.lost, sending)
         else:
             sent = await sending
-        checked = check_answer(node, sent, active.started_s, deadline_s)
+        checked = check_answer(node, sent, asked, deadline_s)
         answer = checked.ok()
     finally:
         if answer is None:
--- a/carobmoor/mesh/_peers.py
+++ b/carobmoor/mesh/_peers.py
@@ -41,6 +41,8 @@
         self.silent_since_s = float('inf')
         # The answer to its last query.
         self.answering: asyncio.Task[None] | None = None
+        # The run of its server that said in an answer that it leaves.
+        self.left_run: tuple[str, int] | None = None
         self.hello_sent_at_s = float(0)
         self.unanswered_hellos = 0
 
@@ -52,7 +54,14 @@
     @property
     def has_server(self) -> bool:
         """Whether a backend server beside it accepts requests."""
-        return bool(self.record.instance_id) and not self.record.is_leaving
+        if self.left_run == self.server_run or self.record.is_leaving:
+            return False
+        return bool(self.record.instance_id)
+
+    @property
+    def server_run(self) -> tuple[str, int]:
+        """The id and the start of the server beside it."""
+        return (self.record.instance_id, self.record.born_ms)
 
     @property
     def concurrency_limit(self) -> int:
@@ -114,10 +123,19 @@
             peer.in_flight = known.in_flight
             peer.last_update_s = known.last_update_s
             peer.is_self = known.is_self
+            peer.left_run = known.left_run
         self._by_address[record.address] = peer
         self._by_ip[record.ip] = peer
         return peer
 
+    def record_leaving(
+        self, address: Address, server_run: tuple[str, int]
+    ) -> None:
+        """Record that a run of the server beside a node leaves."""
+        peer = self._by_address.get(address)
+        if peer is not None:
+            peer.left_run = server_run
+
     def forget(self, peer: Peer) -> None:
         """Remove a node that is gone."""
         self._by_address.pop(peer.address, None)
--- a/carobmoor/mesh/_server_reports.py
+++ b/carobmoor/mesh/_server_reports.py
@@ -1,14 +1,15 @@
 """Records what the own backend server reports of itself with its answers."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
-from carobmoor.admission import RateLimit, read_rate_limit
+from carobmoor.admission import Gate, read_rate_limit
 from carobmoor.mesh._backend import Backend, read_load
 from carobmoor.mesh._messages import HeaderNames
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import HeaderList, get_header
 
-_log = logger_for('limit')
+_LEAVING: Final = '1'
+_log = logger_for('server')
 
 
 class ReportTargets(NamedTuple):
@@ -16,21 +17,39 @@
 
     names: HeaderNames
     backend: Backend
-    rate_limit: RateLimit
+    gate: Gate
+
+
+class AskedServer(NamedTuple):
+    """When a request was sent, and to which instance of the server."""
+
+    sent_at_s: float
+    instance_id: str
+
+
+def says_leaving(names: HeaderNames, headers: HeaderList) -> bool:
+    """Return whether an answer says that its server leaves."""
+    return get_header(headers, names.leaving) == _LEAVING
 
 
 def record_report(
     targets: ReportTargets,
     headers: HeaderList,
-    sent_at_s: float,
+    asked: AskedServer,
     now_s: float,
 ) -> None:
-    """Record the load and the rate limit in the headers of an answer.
+    """Record load, rate limit and leaving in the headers of an answer.
 
-    `sent_at_s` is when its request was sent. Answers to health checks count
-    like any others.
+    Answers to health checks count like any others. Once the server leaves,
+    waiting requests are refused at once.
     """
     names = targets.names
+    is_leaving = says_leaving(names, headers)
+    if is_leaving and targets.backend.record_leaving(asked.instance_id):
+        _log.info(
+            'Backend server says that it leaves.', instance=asked.instance_id
+        )
+        targets.gate.refuse_waiting()
     load = read_load(get_header(headers, names.load))
     if load is not None:
         targets.backend.record_slowdown(load.slowdown_percent, now_s)
@@ -43,11 +62,12 @@
             content=content,
         )
         return
-    before_per_s = targets.rate_limit.per_s
-    if targets.rate_limit.record_answer(named_per_s, sent_at_s, now_s):
+    rate_limit = targets.gate.state.rate_limit
+    before_per_s = rate_limit.per_s
+    if rate_limit.record_answer(named_per_s, asked.sent_at_s, now_s):
         _log.info(
             'Backend server changed its rate limit.',
             instance=targets.backend.instance_id,
-            per_s=targets.rate_limit.per_s,
+            per_s=rate_limit.per_s,
             before_per_s=before_per_s,
         )
--- a/carobmoor/mesh/_slowdown.py
+++ b/carobmoor/mesh/_slowdown.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from carobmoor.mesh._backend import Backend
+from carobmoor.mesh._server_reports import AskedServer
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import (
     Address,
@@ -36,9 +37,9 @@
 
     pool: ConnectionPool
     address: Address
-    # Called with the headers of an answer, and when it was asked for and
-    # received.
-    record: Callable[[HeaderList, float, float], None]
+    # Called with the headers of an answer, who was asked and when, and the time
+    # of the answer.
+    record: Callable[[HeaderList, AskedServer, float], None]
     # Returns the health path, or `None` while it is unknown.
     path: Callable[[], str | None]
 
@@ -114,7 +115,7 @@
         path = query.path()
         if path is None:
             return
-        asked_at_s = time.monotonic()
+        asked = AskedServer(time.monotonic(), self._backend.instance_id)
         response = await request_json(
             query.pool,
             query.address,
@@ -132,4 +133,4 @@
             self._backend.slowdown_at_s = now_s
             return
         headers = response.ok_value.head.headers
-        query.record(headers, asked_at_s, now_s)
+        query.record(headers, asked, now_s)
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -125,7 +125,7 @@
     @property
     def report_targets(self) -> ReportTargets:
         """Where the reports of the own backend server are recorded."""
-        return ReportTargets(self.names, self.backend, self.rate_limit)
+        return ReportTargets(self.names, self.backend, self.gate)
 
     @property
     def version(self) -> int:
--- a/carobmoor/mesh/tests/scripted.py
+++ b/carobmoor/mesh/tests/scripted.py
@@ -20,6 +20,7 @@
     b'x-not-run',
     b'x-caller-service',
     b'x-rate-limit',
+    b'x-leaving',
 )
 Serve = Callable[[IncomingRequest], Awaitable[None]]
 
@@ -35,6 +36,8 @@
         self.load = ''
         # The rate limit that every answer names, if any.
         self.rate_limit = ''
+        # Whether every answer says that the server leaves.
+        self.is_leaving = False
         self._serve = serve
         self._listener = Listener(self._handle, ServingLimits)
 
@@ -64,8 +67,12 @@
         )
 
     def _reports(self) -> Sequence[tuple[bytes, bytes]]:
-        """Return the headers with the load and the rate limit."""
-        reports = ((NAMES.load, self.load), (NAMES.rate_limit, self.rate_limit))
+        """Return the headers in which the server reports its state."""
+        reports = (
+            (NAMES.load, self.load),
+            (NAMES.rate_limit, self.rate_limit),
+            (NAMES.leaving, '1' if self.is_leaving else ''),
+        )
         return [
             (name, content.encode()) for name, content in reports if content
         ]
--- a/carobmoor/platform/_names.py
+++ b/carobmoor/platform/_names.py
@@ -16,6 +16,8 @@
     caller_service=b'x-carobmoor-caller-service',
     # Requests a second, from all nodes together.
     rate_limit=b'server-limit',
+    # "1" on every answer of a backend server that leaves.
+    leaving=b'server-leaving',
 )
 READY_PATH: Final = '/v1/ready'
 INSTANCES_PATH: Final = '/v1/instances/'
