Don't take a repeated refusal of another request for proof of "not run"

Cause: answers that name another request were skipped, but one that names none was taken for the answer to the current request. Health checks have no id, a full server refuses them like any request, and their connection is kept for requests: when the server repeats that refusal, it proved "not run" for whatever came next.

Change: a refusal proves "not run" only if it names its request, or if its connection has carried no other; otherwise the outcome is unknown.

Evidence: test_repeated_refusal_proves_nothing failed before without an id (the request ran at both servers) and passes now; with the id of an earlier request it passed before. The scripted servers of test_forwarding name their request now, as backend servers do; what is asserted there is unchanged.

--- a/carobmoor/mesh/_backend_call.py
+++ b/carobmoor/mesh/_backend_call.py
@@ -90,13 +90,17 @@
     """Return why an answer is not passed on; `None` if it is.
 
     A success without the signature is not trusted, and a status such as 503
-    alone does not prove that the request did not run.
+    alone does not prove that the request did not run. A refusal that may be
+    that of an earlier request on the connection proves nothing either.
     """
     headers = answer.head.headers
     status = answer.head.status
     peer = str(answer.address)
     if get_header(headers, node.names.not_run) or status == _MISDIRECTED:
-        return NotRun(Code.NOT_SENT, 'answer', peer, f'status {status}')
+        detail = f'status {status}'
+        if answer.is_attributed:
+            return NotRun(Code.NOT_SENT, 'answer', peer, detail)
+        return Unknown('answer', peer, f'{detail}, without its request id')
     is_signed = bool(get_header(headers, node.names.signature))
     is_success = status < _FIRST_FAILED_STATUS
     if status in _UNPROVEN_STATUSES or (is_success and not is_signed):
--- /dev/null
+++ b/carobmoor/mesh/tests/test_faulty_answers.py
@@ -0,0 +1,114 @@
+"""Backend servers that repeat a refusal on a kept connection."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from nose2.tools import params
+
+from carobmoor.mesh.tests.fixtures import Mesh, running_mesh
+from carobmoor.mesh.tests.scripted import NAMES
+from carobmoor.transport import JsonAnswer, get_header
+from stand_ins.raw_server import RawAnswer, RawRequest, Script, serving_raw
+
+OK = 200
+BAD_GATEWAY = 502
+NOT_RUN = 503
+TEST_TIMEOUT_S = 20
+ROUNDS = 4
+HEALTHY = RawAnswer((b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',))
+
+
+def success(request_id: str) -> bytes:
+    """Return a signed success that names its request."""
+    return (
+        f'HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: signed\r\n'
+        'content-length: 4\r\n\r\ndone'
+    ).encode()
+
+
+def refusal(request_id: str) -> bytes:
+    """Return a refusal of the server; without an id it names no request."""
+    named = f'x-id: {request_id}\r\n' if request_id else ''
+    return (
+        f'HTTP/1.1 503 Full\r\n{named}x-not-run: 1\r\ncontent-length: 0\r\n\r\n'
+    ).encode()
+
+
+def run(check: Callable[[Mesh], Awaitable[None]], script: Script) -> None:
+    """Check a mesh whose second server follows a script.
+
+    The first one is far away, so that it is the second choice there.
+    """
+
+    async def main() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_S), running_mesh() as mesh:
+            await mesh.add(1, zone='c')
+            faulty = await mesh.add(2)
+            await faulty.backend.stop()
+            address = faulty.node.settings.backend_server
+            async with serving_raw(address, script):
+                await mesh.wait_until_connected()
+                await check(mesh)
+
+    asyncio.run(main())
+
+
+async def ask_faulty(
+    mesh: Mesh, target: str, body: bytes, request_id: str
+) -> JsonAnswer:
+    """Ask the node with the faulty server, as if it had never failed."""
+    pair = mesh.nodes[1]
+    pair.node.backend.success.reset()
+    own = pair.node.peers.find_by_ip(pair.node.settings.ip)
+    assert own is not None
+    own.success.reset()
+    return await mesh.ask(pair, target, body, 1500, request_id)
+
+
+class RepeatingServer:
+    """Refuses health checks, and repeats a refusal before each kept answer."""
+
+    def __init__(self, repeated_id: str) -> None:
+        """Repeat a refusal that names this request; none if it is empty."""
+        # Requests before whose answer a refusal was repeated.
+        self.misled: set[str] = set()
+        self._repeated_id = repeated_id
+
+    def answer(self, request: RawRequest) -> RawAnswer:
+        """Return the next answer of the script."""
+        if request.target == '/health':
+            return RawAnswer((refusal(''),))
+        request_id = request.value_of(NAMES.request_id)
+        if not request.place:
+            return RawAnswer((success(request_id),))
+        self.misled.add(request_id)
+        return RawAnswer((refusal(self._repeated_id), success(request_id)))
+
+
+# Guards against a caller who is told that a request did not run, or whose
+# request runs at a second server, because the first repeats an old refusal.
+@params(('earlier', OK), ('', BAD_GATEWAY))
+def test_repeated_refusal_proves_nothing(repeated_id, status):
+    """A refusal counts only for the request that it surely belongs to.
+
+    Refusals of health checks name no request, and their connections are kept.
+    """
+    server = RepeatingServer(repeated_id)
+
+    async def check(mesh: Mesh) -> None:
+        statuses = set()
+        for number in range(ROUNDS):
+            request_id = f'request-{number}'
+            node = mesh.nodes[1].node
+            await node.slowdown_monitor.refresh()
+            answer = await ask_faulty(mesh, '/post/1', b'x', request_id)
+            if request_id in server.misled:
+                statuses.add(answer.head.status)
+        ran_at_other = {
+            get_header(request.headers, NAMES.request_id)
+            for request in mesh.nodes[0].backend.received_requests
+        }
+        assert not ran_at_other.intersection(server.misled)
+        assert statuses == {status}
+
+    run(check, server.answer)
--- a/carobmoor/mesh/tests/test_forwarding.py
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -31,11 +31,11 @@
     *headers: tuple[bytes, bytes],
     body: bytes = b'',
 ) -> Serve:
-    """Make a server that gives every request the same answer."""
+    """Make a server that gives every request the same answer, with its id."""
 
     async def serve(request: IncomingRequest) -> None:
         await _read(request)
-        request.respond(status, headers, body)
+        request.respond(status, (_id_header(request), *headers), body)
 
     return serve
 
@@ -63,9 +63,13 @@
     return b''.join([chunk async for chunk in request.chunks()])
 
 
+def _id_header(request: IncomingRequest) -> tuple[bytes, bytes]:
+    request_id = get_header(request.headers, NAMES.request_id)
+    return (NAMES.request_id, request_id.encode())
+
+
 def _own_headers(request: IncomingRequest) -> tuple[tuple[bytes, bytes], ...]:
-    request_id = get_header(request.headers, NAMES.request_id).encode()
-    return ((NAMES.request_id, request_id), (NAMES.signature, b'signed'))
+    return (_id_header(request), (NAMES.signature, b'signed'))
 
 
 class Fault(NamedTuple):
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -69,6 +69,8 @@
         self._ends_with_close = False
         # Whether the answer being read belongs to another request.
         self._is_skipping = False
+        # Whether the connection has carried an earlier request.
+        self._is_reused = False
         self._is_abandoned = False
         self._on_lost: Callable[[], None] | None = None
         self._writable: asyncio.Future[None] | None = None
@@ -104,6 +106,16 @@
         is_complete = self.is_answer_complete and not has_leftovers
         return is_complete and self.is_open and self._peer_keeps_alive
 
+    @property
+    def is_answer_attributed(self) -> bool:
+        """Whether the answer can belong to no other request.
+
+        It names the current request, or the connection has carried no other.
+        """
+        if not self._is_reused:
+            return True
+        return self._head is not None and bool(self._named_request(self._head))
+
     @property
     def is_silent(self) -> bool:
         """Whether the peer has sent nothing since the last answer.
@@ -232,6 +244,7 @@
         self._is_bodiless = False
         self._ends_with_close = False
         self._is_skipping = False
+        self._is_reused = self.request is not None
         self._headers = []
         self._head = None
         self._parser = httptools.HttpResponseParser(self)
@@ -281,12 +294,17 @@
             self._transport.abort()
 
     def _belongs_to_request(self, head: AnswerHead) -> bool:
-        """Return whether an answer belongs to the current request."""
+        """Return whether an answer names no request or the current one."""
+        named = self._named_request(head)
+        echoed = None if self.request is None else self.request.echoed_header
+        return not named or echoed is None or named == echoed[1]
+
+    def _named_request(self, head: AnswerHead) -> bytes:
+        """Return the request that an answer names; empty if it names none."""
         echoed = None if self.request is None else self.request.echoed_header
         if echoed is None:
-            return True
-        answer_value = get_header(head.headers, echoed[0])
-        return not answer_value or answer_value.encode('latin-1') == echoed[1]
+            return b''
+        return get_header(head.headers, echoed[0]).encode('latin-1')
 
     @property
     def _is_writing(self) -> bool:
--- a/carobmoor/transport/_exchange.py
+++ b/carobmoor/transport/_exchange.py
@@ -58,6 +58,11 @@
         self._connection = connection
         self._pool = pool
 
+    @property
+    def is_attributed(self) -> bool:
+        """Whether it can't be the answer to an earlier request."""
+        return self._connection.is_answer_attributed
+
     async def chunks(
         self,
         floor: ProgressFloor | None = None,
