Show that an answer which ends within its head is no success

Report of other operators: a server stopped within the head of its answer and closed, and callers got an empty or short 200, framed as whole.

The test cuts an answer after each byte of its head, for a request that may run once and for one that may run again. It passed on the code as it was: without a whole head there is no answer, so this can't happen at the mesh node.

--- a/carobmoor/mesh/tests/test_faulty_answers.py
+++ b/carobmoor/mesh/tests/test_faulty_answers.py
@@ -1,4 +1,4 @@
-"""Backend servers that repeat a refusal on a kept connection."""
+"""Backend servers that repeat a refusal, or stop within an answer's head."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -112,3 +112,34 @@
         assert statuses == {status}
 
     run(check, server.answer)
+
+
+# Guards against a success with an empty or short body, framed as whole, when
+# the server stops within the head of its answer and closes.
+@params('/get/1', '/post/1')
+def test_answer_cut_in_its_head_is_no_success(target):
+    """The caller gets a failure that does not say "not run".
+
+    A request that may run again is answered by the other server, within the
+    budget of resends.
+    """
+    head = success('request-1').removesuffix(b'done')
+    expected = {(BAD_GATEWAY, b'')}
+    if target.startswith('/get'):
+        expected.add((OK, b'done'))
+    answer_start = b''
+
+    def answer(request: RawRequest) -> RawAnswer:
+        if request.target == '/health':
+            return HEALTHY
+        return RawAnswer((answer_start,), closes=True)
+
+    async def check(mesh: Mesh) -> None:
+        nonlocal answer_start
+        body = b'' if target.startswith('/get') else b'x'
+        for kept_bytes, _ in enumerate(head):
+            answer_start = head[:kept_bytes]
+            got = await ask_faulty(mesh, target, body, 'request-1')
+            assert (got.head.status, got.body) in expected, kept_bytes
+
+    run(check, answer)
