--- a/carobmoor/mesh/tests/scripted.py
+++ b/carobmoor/mesh/tests/scripted.py
@@ -25,6 +25,12 @@
 Serve = Callable[[IncomingRequest], Awaitable[None]]
 
 
+def id_header(request: IncomingRequest) -> tuple[bytes, bytes]:
+    """Return the header with which an answer names its request."""
+    request_id = get_header(request.headers, NAMES.request_id)
+    return (NAMES.request_id, request_id.encode())
+
+
 class ScriptedServer:
     """A backend server with scripted answers that records its requests."""
 
@@ -59,11 +65,9 @@
         extra: Sequence[tuple[bytes, bytes]] = (),
     ) -> None:
         """Answer with the request id, the signature and the load."""
-        request_id = get_header(request.headers, NAMES.request_id)
-        id_header = (NAMES.request_id, request_id.encode())
         signed = (NAMES.signature, b'signed')
         request.respond(
-            status, (id_header, signed, *self._reports(), *extra), body
+            status, (id_header(request), signed, *self._reports(), *extra), body
         )
 
     def _reports(self) -> Sequence[tuple[bytes, bytes]]:
--- a/carobmoor/mesh/tests/test_forwarding.py
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -14,7 +14,12 @@
     ready_announcement,
     running_mesh,
 )
-from carobmoor.mesh.tests.scripted import NAMES, ScriptedServer, Serve
+from carobmoor.mesh.tests.scripted import (
+    NAMES,
+    ScriptedServer,
+    Serve,
+    id_header,
+)
 from carobmoor.routes import RouteKind
 from carobmoor.transport import IncomingRequest, get_header
 
@@ -35,7 +40,7 @@
 
     async def serve(request: IncomingRequest) -> None:
         await _read(request)
-        request.respond(status, (_id_header(request), *headers), body)
+        request.respond(status, (id_header(request), *headers), body)
 
     return serve
 
@@ -63,13 +68,8 @@
     return b''.join([chunk async for chunk in request.chunks()])
 
 
-def _id_header(request: IncomingRequest) -> tuple[bytes, bytes]:
-    request_id = get_header(request.headers, NAMES.request_id)
-    return (NAMES.request_id, request_id.encode())
-
-
 def _own_headers(request: IncomingRequest) -> tuple[tuple[bytes, bytes], ...]:
-    return (_id_header(request), (NAMES.signature, b'signed'))
+    return (id_header(request), (NAMES.signature, b'signed'))
 
 
 class Fault(NamedTuple):
--- a/carobmoor/mesh/tests/test_overload.py
+++ b/carobmoor/mesh/tests/test_overload.py
@@ -9,7 +9,7 @@
     NodeWithServer,
     running_mesh,
 )
-from carobmoor.mesh.tests.scripted import NAMES
+from carobmoor.mesh.tests.scripted import NAMES, id_header
 from carobmoor.mesh.tests.test_membership import run
 from carobmoor.transport import IncomingRequest, get_header
 
@@ -51,7 +51,7 @@
 
 async def _refuse(request: IncomingRequest) -> None:
     await asyncio.sleep(0.25)
-    request.respond(503, ((NAMES.not_run, b'1'),))
+    request.respond(503, (id_header(request), (NAMES.not_run, b'1')))
 
 
 def test_hedge_that_did_not_run_is_told():
