--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -25,6 +25,7 @@
 from carobmoor.mesh._request_log import serve_metrics
 from carobmoor.mesh._route_follower import RouteFollower, RouteSource
 from carobmoor.mesh._state import MeshNode
+from carobmoor.mesh._stop_times import stop_times
 from carobmoor.store import Store
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import Listener, ServingLimits, monitor_pauses
@@ -35,7 +36,6 @@
 _MIN_IDLE_S: Final = 2.5
 # Reserved from the time to stop, to end the requests still running.
 _STOP_MARGIN_S: Final = 0.4
-_DEFAULT_LONGEST_TIMEOUT_S: Final = 2
 _REMOVE_ROW_TIMEOUT_S: Final = 0.3
 _COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
 _log = logger_for('node')
@@ -169,26 +169,25 @@
 async def leave_mesh_node(parts: MeshParts) -> None:
     """Stop without cutting off a request: callers first, then the rest.
 
-    Requests are accepted while they can end before the process is killed.
+    Requests are accepted while they can end before the row is deleted.
     """
     node = parts.node
-    started_s = time.monotonic()
     stop_s = node.settings.bounds.stop_ms / _MS_PER_S - _STOP_MARGIN_S
     node.is_leaving = True
-    node.refuses_from_s = started_s + max(
-        0.5, stop_s - _longest_timeout_s(node)
+    node.stop_times = stop_times(
+        time.monotonic(), stop_s - _REMOVE_ROW_TIMEOUT_S
     )
     _log.info('Node stops.', in_hand=node.unfinished_requests)
     parts.gossip.notify_change()
     node.gate.refuse_waiting()
-    until_s = started_s + stop_s - _REMOVE_ROW_TIMEOUT_S
-    await _wait_idle(node, until_s, _MIN_IDLE_S)
+    requests_end_s = node.stop_times.requests_end_s
+    await _wait_idle(node, requests_end_s, _MIN_IDLE_S)
     if node.backend.last_announcement is None or not node.backend.is_ready:
         await _remove_row(parts)
     parts.callers.close()
     parts.nodes.close()
     # Requests may have been accepted since the last look.
-    await _wait_idle(node, until_s, 0)
+    await _wait_idle(node, requests_end_s + _REMOVE_ROW_TIMEOUT_S, 0)
 
 
 async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
@@ -216,16 +215,6 @@
         _log.warning('Deleting the own row timed out; it may stay.')
 
 
-def _longest_timeout_s(node: MeshNode) -> float:
-    if node.table is None:
-        return _DEFAULT_LONGEST_TIMEOUT_S
-    return max(
-        route.timeout_ms / _MS_PER_S
-        for by_prefix in node.table.routes.values()
-        for route in by_prefix.values()
-    )
-
-
 def _tune_garbage_collector() -> None:
     """Reduce request pauses from collections of long-lived objects."""
     gc.collect()
--- a/carobmoor/mesh/_forward.py
+++ b/carobmoor/mesh/_forward.py
@@ -63,7 +63,7 @@
     if request.disconnected.done():
         raise CallerLost
     table = node.table
-    if table is None or time.monotonic() > node.refuses_from_s:
+    if table is None:
         await discard_body(request)
         respond_unavailable(node, request)
         return
@@ -78,6 +78,10 @@
         respond(node, request, HTTPStatus.BAD_REQUEST)
         return
     pending = _start_request(node, request, route)
+    if not node.stop_times.may_accept(pending.deadline_s, time.monotonic()):
+        await discard_body(request)
+        respond_failure(node, pending, _stops_too_soon(node))
+        return
     try:
         async with asyncio.timeout(max(0, pending.remaining_s)):
             served = await cancel_when_lost(
@@ -116,6 +120,10 @@
     return pending
 
 
+def _stops_too_soon(node: MeshNode) -> NotRun:
+    return NotRun(Code.LEAVING, 'stop', str(node.settings.node_address))
+
+
 def _deadline_ms(node: MeshNode, request: IncomingRequest) -> float:
     declared_ms = get_header(request.headers, node.names.deadline_ms)
     return (
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -17,6 +17,7 @@
 from carobmoor.mesh._resend_budget import ResendBudget
 from carobmoor.mesh._server_reports import ReportTargets, record_report
 from carobmoor.mesh._slowdown import LoadQuery, SlowdownMonitor
+from carobmoor.mesh._stop_times import StopTimes
 from carobmoor.mesh._typical_times import NodeTimes, TypicalTimes
 from carobmoor.quarantine import (
     MARKS_TARGET,
@@ -98,9 +99,7 @@
         self.incarnation = int(time.time() * _MS_PER_S)
         self.revision = 0
         self.is_leaving = False
-        # Monotonic time from which callers' requests are refused; infinite
-        # until the node stops.
-        self.refuses_from_s = float('inf')
+        self.stop_times = StopTimes()
         self.store_availability = StoreAvailability()
         self.unfinished_requests = 0
         self.last_request_s = float(0)
