Start what was accepted under a rate limit, if its turn comes a little late

Cause: the margin that a newcomer needs to be accepted was asked again of every waiting request at each tick. A start that came a few milliseconds later than was predicted made it too late by that margin.

Change: the margin is asked on arrival alone; a waiting request is refused when its start is past its own limit.

Starts stay within the limit: test_limit_holds_under_random_steps.

--- a/carobmoor/admission/_decide.py
+++ b/carobmoor/admission/_decide.py
@@ -21,7 +21,10 @@
 from carobmoor.admission._nested import detect_blocked_chains, record_depth
 from carobmoor.admission._queue import QueueEntry, entries_in_order, make_entry
 from carobmoor.admission._ranks import RankState
-from carobmoor.admission._rate_limited_queue import find_unreachable
+from carobmoor.admission._rate_limited_queue import (
+    START_MARGIN_S,
+    find_unreachable,
+)
 from carobmoor.admission._state import AdmissionState, Running
 from carobmoor.outcomes import Code
 
@@ -180,9 +183,8 @@
     )
     if _is_deadline_unreachable(state, rank, entry, now_s):
         return Err(Code.DEADLINE_UNREACHABLE)
-    if find_unreachable(
-        state, rank, entries_in_order(rank.queue, entry), now_s
-    ):
+    waiting = entries_in_order(rank.queue, entry)
+    if find_unreachable(state, rank, waiting, now_s, START_MARGIN_S):
         return Err(Code.RATE_LIMITED)
     evicted: Drop | None = None
     if state.queued_total >= state.policy.queue_limit:
--- a/carobmoor/admission/_rate_limited_queue.py
+++ b/carobmoor/admission/_rate_limited_queue.py
@@ -8,7 +8,7 @@
 from carobmoor.admission._state import AdmissionState
 
 # Covers the interval at which waiting requests are started, and the hop back.
-_START_MARGIN_S: Final = 0.05
+START_MARGIN_S: Final = 0.05
 
 
 def find_unreachable(
@@ -16,12 +16,15 @@
     rank: RankState,
     entries: Iterable[QueueEntry],
     now_s: float,
+    margin_s: float = 0,
 ) -> list[QueueEntry]:
     """Return which of a rank's requests, in their order, start too late.
 
     The requests of more urgent ranks go first. Without a limit, the list is
     empty. A newcomer that makes any of them late is to be refused, since those
-    that wait have been accepted.
+    that wait have been accepted. `margin_s` is kept free for it alone, so that
+    a request does not become late by a start that comes a little later than
+    was expected.
     """
     if not state.rate_limit.per_s:
         return []
@@ -29,7 +32,7 @@
     unreachable: list[QueueEntry] = []
     for entry in entries:
         starts_at_s = now_s + state.rate_limit.wait_s(ahead, now_s)
-        if starts_at_s + _START_MARGIN_S >= entry.drop_at_s:
+        if starts_at_s + margin_s >= entry.drop_at_s:
             unreachable.append(entry)
         else:
             ahead += 1
--- a/carobmoor/admission/tests/test_rate_limit.py
+++ b/carobmoor/admission/tests/test_rate_limit.py
@@ -173,6 +173,26 @@
     assert Code.RATE_LIMITED not in offered[:3]
 
 
+# Guards against a request that is accepted, waits, and is refused when its
+# turn has come.
+@params(0.005, 0.0127, 0.02)
+def test_accepted_request_starts(tick_s):
+    """What is accepted is started, also if ticks come a little late."""
+    for step in range(1000):
+        desk = Desk()
+        desk.state.rate_limit.record_answer(5, 0, 0)
+        request = arrival(deadline_s=0.8 + step * 0.0006)
+        accepted = [
+            offered
+            for offered in (desk.offer(request) for _ in range(10))
+            if not isinstance(offered, Code)
+        ]
+        while desk.now_s < request.deadline_s:
+            desk.now_s += tick_s
+            desk.start()
+        assert desk.running == accepted, (request, desk.dropped)
+
+
 # Guards against a limit that an answer from before it ends, or that malformed
 # content names or ends.
 def test_late_answer_does_not_end_limit():
