Keep a server's leaving in mind while its node is unknown

What callers saw: nothing; found by reading. A node forgot that it had passed on an answer of a leaving server as soon as it forgot the node beside it, and took the server for ready from the next record of an owner that did not know.

Change: the runs that leave are kept by address, apart from the nodes.

Evidence: the added part of test_caller_node_remembers_leaving failed before.

--- a/carobmoor/mesh/_peers.py
+++ b/carobmoor/mesh/_peers.py
@@ -88,6 +88,9 @@
         self._region = region
         self._by_address: dict[Address, Peer] = {}
         self._by_ip: dict[str, Peer] = {}
+        # The runs of servers that said in an answer that they leave, kept
+        # also while their node is not known.
+        self._left_runs: dict[Address, tuple[str, int]] = {}
         # Sends a datagram to a node; set once the socket is open.
         self.send: Callable[[Peer, bytes], None] = _drop
 
@@ -119,11 +122,11 @@
             known.record = record
             return known
         peer = Peer(record, self._distance(record, region))
+        peer.left_run = self._left_runs.get(record.address)
         if known is not None:
             peer.in_flight = known.in_flight
             peer.last_update_s = known.last_update_s
             peer.is_self = known.is_self
-            peer.left_run = known.left_run
         self._by_address[record.address] = peer
         self._by_ip[record.ip] = peer
         return peer
@@ -132,6 +135,7 @@
         self, address: Address, server_run: tuple[str, int]
     ) -> None:
         """Record that a run of the server beside a node leaves."""
+        self._left_runs[address] = server_run
         peer = self._by_address.get(address)
         if peer is not None:
             peer.left_run = server_run
