Refuse a late request of a stop at the product's own interface too

Cause: while a long request keeps a stopping node, its listener stays open, and what arrives is passed on to other nodes whatever its deadline. At the end of `leave_most_ms` all of it is cut.

Change: the limits of a stop moved from the mesh to `admission`, and both kinds of node ask them. Copies of requests with a ticket of this node are answered until the end, since only it knows their outcome.

Evidence: test_late_request_is_refused_at_stop fails without the check and passes with it.

--- a/carobmoor/admission/__init__.py
+++ b/carobmoor/admission/__init__.py
@@ -27,6 +27,7 @@
 )
 from carobmoor.admission._rate_limit import RateLimit, read_rate_limit
 from carobmoor.admission._state import AdmissionState
+from carobmoor.admission._stop_times import StopTimes, stop_times
 
 __all__ = [
     'AdmissionPolicy',
@@ -43,7 +44,9 @@
     'expire',
     'finish',
     'offer',
+    'StopTimes',
     'read_rate_limit',
+    'stop_times',
     'release',
     'release_unused',
     'start_next',
--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -10,6 +10,7 @@
 
 from result import Result
 
+from carobmoor.admission import stop_times
 from carobmoor.mesh._announcements import (
     AnnouncementHandler,
     DecodeAnnouncement,
@@ -25,7 +26,6 @@
 from carobmoor.mesh._request_log import serve_metrics
 from carobmoor.mesh._route_follower import RouteFollower, RouteSource
 from carobmoor.mesh._state import MeshNode
-from carobmoor.mesh._stop_times import stop_times
 from carobmoor.store import Store
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import Listener, ServingLimits, monitor_pauses
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
-from carobmoor.admission import AdmissionPolicy, Gate, RankPolicy, RateLimit
+from carobmoor.admission import (
+    AdmissionPolicy,
+    Gate,
+    RankPolicy,
+    RateLimit,
+    StopTimes,
+)
 from carobmoor.mesh._backend import Backend
 from carobmoor.mesh._concurrency_limit import ConcurrencyLimit
 from carobmoor.mesh._datagrams import Load, NodeRecord
@@ -17,7 +23,6 @@
 from carobmoor.mesh._resend_budget import ResendBudget
 from carobmoor.mesh._server_reports import ReportTargets, record_report
 from carobmoor.mesh._slowdown import LoadQuery, SlowdownMonitor
-from carobmoor.mesh._stop_times import StopTimes
 from carobmoor.mesh._typical_times import NodeTimes, TypicalTimes
 from carobmoor.quarantine import (
     MARKS_TARGET,
--- a/carobmoor/mesh/tests/test_late_in_stop.py
+++ b/carobmoor/mesh/tests/test_late_in_stop.py
@@ -4,8 +4,8 @@
 
 from nose2.tools import params
 
+from carobmoor.admission import StopTimes, stop_times
 from carobmoor.mesh import leave_mesh_node
-from carobmoor.mesh._stop_times import StopTimes, stop_times
 from carobmoor.mesh.tests.fixtures import (
     DEFAULT_TABLE,
     Mesh,
--- a/carobmoor/node/_data_plane.py
+++ b/carobmoor/node/_data_plane.py
@@ -62,7 +62,9 @@
             node.pauses.earliest_arrival_s(pending.started_s)
         )
         with shutdown.track_request(pending):
-            failure = await _serve(node, pending)
+            failure: Failure | None = shutdown.refusal_of(pending)
+            if failure is None:
+                failure = await _serve(node, pending)
             if isinstance(failure, NotRun) and not pending.is_ticket_decided:
                 failure = record_refusal(node, context, failure)
             record_request_end(node, pending, failure)
--- a/carobmoor/node/_shutdown.py
+++ b/carobmoor/node/_shutdown.py
@@ -6,11 +6,12 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
+from carobmoor.admission import StopTimes, stop_times
 from carobmoor.history import EventKind
 from carobmoor.membership import MemberStatus, set_own_status
 from carobmoor.node._pending_request import PendingRequest
 from carobmoor.node._state import NodeState
-from carobmoor.outcomes import Code
+from carobmoor.outcomes import Code, NotRun
 from carobmoor.telemetry import logger_for
 
 _DEFAULT_LINGER_MS: Final = 2000
@@ -19,6 +20,8 @@
 # How long queued requests may still start after a drain. Later they are
 # refused, so that nothing starts on the backend server 2 s after the drain.
 _QUEUE_GRACE_S: Final = 1
+# Reserved from the time to leave, for the answers of the last requests.
+_ANSWER_MARGIN_S: Final = 0.4
 # How long the listener stays open after idle connections were closed, so
 # that a caller that lost a request there can ask for its outcome.
 _LISTENER_GRACE_S: Final = 0.3
@@ -44,6 +47,8 @@
         # Set while no request is in progress.
         self.idle = asyncio.Event()
         self.idle.set()
+        # Limits of a stop in progress, for requests that arrive during it.
+        self.stop_times = StopTimes()
         self._queue_refusal_timer: asyncio.TimerHandle | None = None
 
     @contextlib.contextmanager
@@ -74,6 +79,19 @@
         )
         _log.info('Node is draining.', in_flight=len(self.in_progress))
 
+    def refusal_of(self, pending: PendingRequest) -> NotRun | None:
+        """Return why a request is not served; `None` if it may be.
+
+        One that could not end before the process does would be cut. Copies of
+        requests that this node decides on are answered until the end.
+        """
+        ticket = pending.context.ticket
+        if ticket is not None and ticket.owner == self.node.address:
+            return None
+        if self.stop_times.may_accept(pending.deadline_s, time.monotonic()):
+            return None
+        return NotRun(Code.LEAVING, 'stop', self.node.address)
+
     def request_stop(self) -> None:
         """Leave and end the process after a signal; this can't be undone."""
         self.is_final = True
@@ -84,6 +102,7 @@
         if self.is_final:
             return False
         self.stop_requested.clear()
+        self.stop_times = StopTimes()
         if self.shutdown_task is not None:
             self.shutdown_task.cancel()
         if self.node.gate.is_leaving:
@@ -119,6 +138,9 @@
     max_leave_s = (
         settings.get('leave_most_ms', _DEFAULT_MAX_LEAVE_MS) / _MS_PER_S
     )
+    shutdown.stop_times = stop_times(
+        time.monotonic(), max(0, max_leave_s - _ANSWER_MARGIN_S)
+    )
     shutdown_task = asyncio.create_task(_shut_down(shutdown, server))
     shutdown.shutdown_task = shutdown_task
     try:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -17,6 +17,7 @@
     b'POST /x HTTP/1.1\r\nhost: any\r\ncontent-length: 7\r\n'
     b'x-carobmoor-service: bookings\r\nx-carobmoor-rank: booking\r\n\r\ndeposit'
 )
+SLOW_PLAIN = PLAIN.replace(b'\r\n\r\n', b'\r\nx-service-ms: 5000\r\n\r\n')
 
 
 class Load:
@@ -285,6 +286,42 @@
     assert 'Request cut.' in log
 
 
+# Guards against a request that arrives late in a stop, is passed on, and is cut
+# without an answer when the process ends.
+@asynchronous
+async def test_late_request_is_refused_at_stop():
+    """A request that could not end before the node is refused at once."""
+    async with (
+        run_deployment(BOOKINGS, BOOKINGS, leave_most_ms=3000) as deployment,
+        connected_client(deployment) as client,
+    ):
+        pair = deployment.pairs[0]
+        # Keeps the node from ending early.
+        headers = ((b'x-service-ms', b'60000'),)
+        long_call = DEPOSIT._replace(headers=headers, timeout_ms=90_000)
+        calling = [
+            asyncio.create_task(client.call(long_call)) for _ in range(4)
+        ]
+        await deployment.wait_until(
+            lambda: starts_by_request(deployment, pair), 'a request runs'
+        )
+        stopping = asyncio.create_task(
+            deployment.stop(f'node {pair.name}', signal.SIGTERM)
+        )
+        # The first moments of a stop, in which callers can't know of it.
+        await asyncio.sleep(1)
+        reader, writer = await asyncio.open_connection(*pair.node)
+        writer.write(SLOW_PLAIN)
+        head = await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+        await stopping
+        for task in calling:
+            task.cancel()
+        await asyncio.gather(*calling, return_exceptions=True)
+    assert head.startswith(b'HTTP/1.1 503')
+    assert b'x-carobmoor-outcome: not_run' in head
+
+
 @asynchronous
 async def test_idle_connection_is_refused_at_stop():
     """A stopping node answers an idle connection with 408 before closing it.
