Heed the rate limit and the leaving that a server of the product names

Change: its node reads x-carobmoor-rate-limit and x-carobmoor-leaving. The limit goes the way of the mesh node's (Gate.record_rate_limit, one copy); a server that says that it leaves drains its node, as an operator would. Other nodes learn of both by refusals and load reports. A node that restarts learns them from the first answer.

--- a/carobmoor/admission/_gate.py
+++ b/carobmoor/admission/_gate.py
@@ -24,6 +24,7 @@
     SlotGrant,
     Verdict,
 )
+from carobmoor.admission._rate_limit import read_rate_limit
 from carobmoor.admission._state import AdmissionState
 from carobmoor.outcomes import Code
 from carobmoor.telemetry import logger_for
@@ -157,6 +158,32 @@
             if not self._waiting:
                 self._has_waiting.clear()
 
+    def record_rate_limit(
+        self, content: str, sent_at_s: float, server: str
+    ) -> None:
+        """Record the rate limit that an answer of the server names.
+
+        `content` is that of its header, empty if it has none; `sent_at_s` is
+        when its request was sent. A malformed limit changes nothing.
+        """
+        named_per_s = read_rate_limit(content)
+        if content and named_per_s is None:
+            _log.warning(
+                'Rate limit of the backend server unreadable; ignored.',
+                instance=server,
+                content=content,
+            )
+            return
+        rate_limit = self.state.rate_limit
+        before_per_s = rate_limit.per_s
+        if rate_limit.record_answer(named_per_s, sent_at_s, self._clock()):
+            _log.info(
+                'Backend server changed its rate limit.',
+                instance=server,
+                per_s=rate_limit.per_s,
+                before_per_s=before_per_s,
+            )
+
     def record_pause(self, pause_s: float) -> None:
         """Count and log a pause of the event loop beyond the bound."""
         bound_s = self.state.policy.tuning.pause_bound_ms / _MS_PER_S
--- a/carobmoor/mesh/_server_reports.py
+++ b/carobmoor/mesh/_server_reports.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from carobmoor.admission import Gate, read_rate_limit
+from carobmoor.admission import Gate
 from carobmoor.mesh._backend import Backend, read_load
 from carobmoor.mesh._messages import HeaderNames
 from carobmoor.telemetry import logger_for
@@ -53,21 +53,8 @@
     load = read_load(get_header(headers, names.load))
     if load is not None:
         targets.backend.record_slowdown(load.slowdown_percent, now_s)
-    content = get_header(headers, names.rate_limit)
-    named_per_s = read_rate_limit(content)
-    if content and named_per_s is None:
-        _log.warning(
-            'Rate limit of the backend server unreadable; ignored.',
-            instance=targets.backend.instance_id,
-            content=content,
-        )
-        return
-    rate_limit = targets.gate.state.rate_limit
-    before_per_s = rate_limit.per_s
-    if rate_limit.record_answer(named_per_s, asked.sent_at_s, now_s):
-        _log.info(
-            'Backend server changed its rate limit.',
-            instance=targets.backend.instance_id,
-            per_s=rate_limit.per_s,
-            before_per_s=before_per_s,
-        )
+    targets.gate.record_rate_limit(
+        get_header(headers, names.rate_limit),
+        asked.sent_at_s,
+        targets.backend.instance_id,
+    )
--- a/carobmoor/node/_backend_run.py
+++ b/carobmoor/node/_backend_run.py
@@ -24,6 +24,7 @@
 from carobmoor.node._pending_request import PendingRequest
 from carobmoor.node._placement import record_backend_result
 from carobmoor.node._quarantined_run import identity_of, record_lost_connection
+from carobmoor.node._server_reports import record_server_report
 from carobmoor.node._state import NodeState
 from carobmoor.node._ticketed_run import ticket_grant_headers
 from carobmoor.outcomes import Code, Failure, NotRun, Unknown
@@ -201,6 +202,7 @@
         await record_lost_connection(node, pending, permit, sent.err_value)
         return _with_body_error(pending, failure_of(sent.err_value))
     answer = sent.ok_value
+    record_server_report(node, answer.head.headers, sent_at_s)
     echoed_id = get_header(answer.head.headers, REQUEST_ID_HEADER)
     if echoed_id and echoed_id != context.request_id:
         answer.abandon('the answer has the id of another request')
--- a/carobmoor/node/_gauges.py
+++ b/carobmoor/node/_gauges.py
@@ -13,6 +13,7 @@
     metrics.in_flight.set(admission.in_flight_total)
     metrics.queued.set(admission.queued_total)
     metrics.concurrency_limit.set(admission.concurrency_limit.limit)
+    metrics.rate_limit.set(admission.rate_limit.per_s)
     for name, rank in admission.ranks.items():
         metrics.rank_slots_in_use.labels(name).set(rank.in_flight)
         metrics.rank_queued.labels(name).set(len(rank.queue))
--- a/carobmoor/node/_shutdown.py
+++ b/carobmoor/node/_shutdown.py
@@ -50,6 +50,7 @@
         # Limits of a stop in progress, for requests that arrive during it.
         self.stop_times = StopTimes()
         self._queue_refusal_timer: asyncio.TimerHandle | None = None
+        node.on_server_leaving = self.drain
 
     @contextlib.contextmanager
     def track_request(self, pending: PendingRequest) -> Iterator[None]:
--- a/carobmoor/node/_state.py
+++ b/carobmoor/node/_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 from carobmoor.admission import AdmissionPolicy, Gate
@@ -101,6 +101,8 @@
         self.has_configuration = asyncio.Event()
         self.rank_names: frozenset[str] = frozenset()
         self.default_rank = ''
+        # Called when the backend server says that it leaves.
+        self.on_server_leaving: Callable[[], None] = _do_nothing
 
     @property
     def target_s_by_rank(self) -> Mapping[str, float]:
@@ -185,3 +187,7 @@
                 self.service,
             )
             self.gate.expire_and_start()
+
+
+def _do_nothing() -> None:
+    """Stand for a callback that is not set yet."""
