Let the soak's servers name rate limits and leave by their answers

Cause: the soak could show neither of the two new rules.

Change: a seed also draws up to two servers that name a limit of 1 to 12 a second, or say in their answers alone that they leave; drawn apart, so that kept seeds keep their other faults. Written histories show that the first one is found.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -20,7 +20,7 @@
     read_whole,
     send,
 )
-from soak._server import REQUEST_ID, SIGNATURE
+from soak._server import LEAVING, REQUEST_ID, SIGNATURE
 
 HOST: Final = 'shop.example'
 DEADLINE: Final = b'x-carobmoor-deadline-ms'
@@ -147,6 +147,11 @@
     """Record the outcome that a whole answer tells."""
     request_fields = {'process': 'caller', 'request_id': request_id}
     status = head.status
+    instance = get_header(head.headers, SIGNATURE)
+    if instance and get_header(head.headers, LEAVING):
+        record(
+            EventKind.LEAVING, process=f'node of {instance}', subject=instance
+        )
     if status == _OK:
         is_signed = bool(get_header(head.headers, SIGNATURE))
         digest = xxhash.xxh64_hexdigest(body) if is_signed else 'unsigned'
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
-from typing import Final, NamedTuple
+from typing import Final
 
 from carobmoor.history import EventKind
 from proofs._relay import Mode
+from soak._fault import Fault, Injector, crash_server
+from soak._report_faults import REPORT_INJECTORS
 from soak._stage import Place, SoakDeployment
 
 _LINK_MODES: Final = (
@@ -30,17 +32,6 @@
 _DOWN_S: Final = 0.5
 
 
-class Fault(NamedTuple):
-    """One fault: when it starts, how long it lasts and which node it hits."""
-
-    at_s: float
-    for_s: float
-    kind: str
-    number: int
-    # Selects a variant of the kind, such as the mode of a link.
-    variant: int
-
-
 def draw_faults(seed: int, span_s: float, nodes: int) -> Sequence[Fault]:
     """Draw the faults of a run, ordered by their start; they may overlap.
 
@@ -64,7 +55,8 @@
     """Wait until a fault is due, inject it, and mend it after its time."""
     await asyncio.sleep(fault.at_s)
     place = deployment.places[fault.number]
-    await _INJECTORS[fault.kind](deployment, place, fault)
+    injectors = _INJECTORS | REPORT_INJECTORS
+    await injectors[fault.kind](deployment, place, fault)
 
 
 async def _kill(deployment: SoakDeployment, place: Place, fault: Fault) -> None:
@@ -154,18 +146,6 @@
     deployment.record(EventKind.MENDED, subject='store')
 
 
-async def _crash_server(
-    deployment: SoakDeployment, place: Place, fault: Fault
-) -> None:
-    backend = deployment.servers[place]
-    if not backend.is_up:
-        return
-    backend.crash()
-    await asyncio.sleep(fault.for_s)
-    if not backend.is_up:
-        await backend.start()
-
-
 async def _replace_server(
     deployment: SoakDeployment, place: Place, fault: Fault
 ) -> None:
@@ -207,7 +187,6 @@
     deployment.record(kind, subject=place.ip, detail=detail)
 
 
-Injector = Callable[[SoakDeployment, Place, Fault], Awaitable[None]]
 _INJECTORS: Final[Mapping[str, Injector]] = MappingProxyType(
     {
         'kill': _kill,
@@ -217,7 +196,7 @@
         'reload': _reload,
         'link': _inject_link_fault,
         'store': _inject_store_fault,
-        'crash server': _crash_server,
+        'crash server': crash_server,
         'replace server': _replace_server,
         'slow server': _slow_server,
         'publish': _publish,
--- a/soak/_rules.py
+++ b/soak/_rules.py
@@ -9,6 +9,13 @@
 
 # Users require that a leaving backend server gets no new work after this.
 _LEAVING_S: Final = 2.0
+# How the detail of a named rate limit begins, in requests per second.
+LIMIT_DETAIL: Final = 'rate limit '
+_LIMIT_WINDOW_S: Final = 4
+_LIMIT_FACTOR: Final = 1.5
+_LIMIT_ALLOWANCE: Final = 5
+# A limit binds from then on, after it was first named.
+_LIMIT_KNOWN_S: Final = 1
 _CONNECTION_CLOSED: Final = 'connection closed by the peer'
 # A failure of its node this close to a request's end may have cut it.
 _CUT_WINDOW_S: Final = 8.0
@@ -27,6 +34,7 @@
         *silent(ordered),
         *denied(ordered),
         *own_ends(ordered),
+        *beyond_limit(ordered),
     ]
 
 
@@ -90,6 +98,47 @@
     ]
 
 
+def beyond_limit(history: History) -> Sequence[Breach]:
+    """Check the starts at a server while it names a rate limit.
+
+    In any four seconds it gets one and a half times what the limit allows,
+    and five requests more, at most.
+    """
+    breaches: list[Breach] = []
+    for place, event in enumerate(history):
+        if not _names_limit(event):
+            continue
+        starts_s = _starts_until_end(event, history[place:])
+        per_s = int(event.detail.removeprefix(LIMIT_DETAIL))
+        allowed = _LIMIT_FACTOR * per_s * _LIMIT_WINDOW_S + _LIMIT_ALLOWANCE
+        for first_s in starts_s:
+            until_s = first_s + _LIMIT_WINDOW_S
+            count = sum(first_s <= start_s < until_s for start_s in starts_s)
+            if count > allowed:
+                detail = f'{count} starts, {allowed} allowed: {event.detail}'
+                breaches.append(Breach('limit', detail, (event,)))
+                break
+    return breaches
+
+
+def _names_limit(event: Event) -> bool:
+    is_limit = event.detail.startswith(LIMIT_DETAIL)
+    return is_limit and event.kind is EventKind.FAILED
+
+
+def _starts_until_end(limit: Event, later: History) -> Sequence[float]:
+    """Return when requests started at a server while it named a limit."""
+    starts_s: list[float] = []
+    for event in later:
+        if event.kind is EventKind.MENDED and event.subject == limit.subject:
+            break
+        is_start = event.kind is EventKind.STARTED
+        is_counted = event.at_s > limit.at_s + _LIMIT_KNOWN_S
+        if is_start and is_counted and event.process == limit.subject:
+            starts_s.append(event.at_s)
+    return starts_s
+
+
 def _was_failing(
     history: History,
     cut: Event,
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -14,6 +14,7 @@
 from soak._callers import REQUEST_KINDS, RequestKind, call, call_until_cancelled
 from soak._faults import draw_faults, inject_fault
 from soak._pipelining import pipeline_until_cancelled
+from soak._report_faults import draw_reports
 from soak._rules import check_history
 from soak._stage import Place, SoakDeployment, probe_target
 
@@ -46,7 +47,10 @@
             for _ in range(_CALLERS_PER_NODE):
                 calling = _call_while_ready(deployment, called_place, rng)
                 tasks.append(asyncio.create_task(calling))
-        faults = draw_faults(seed, span_s, nodes)
+        faults = (
+            *draw_faults(seed, span_s, nodes),
+            *draw_reports(seed, span_s, nodes),
+        )
         await asyncio.gather(
             *(inject_fault(deployment, fault) for fault in faults)
         )
--- a/soak/_server.py
+++ b/soak/_server.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import time
+from collections.abc import Sequence
 from typing import Any, Final
 
 import xxhash
@@ -25,6 +26,8 @@
 _EXPECTED_INSTANCE: Final = b'x-carobmoor-expected-instance'
 _NOT_RUN: Final = b'x-carobmoor-not-executed'
 _LOAD_HEADER: Final = b'x-carobmoor-server-load'
+_RATE_LIMIT: Final = b'server-limit'
+LEAVING: Final = b'server-leaving'
 HEALTH_PATH: Final = '/health'
 _HEARTBEAT_S: Final = 0.3
 _ACK_TIMEOUT_S: Final = 1.0
@@ -49,6 +52,10 @@
         self.slots = 6
         self.service_ms = 30
         self.slowdown = 1
+        # The rate limit that every answer names; 0 if none.
+        self.rate_limit_per_s = 0
+        # Whether every answer says that the server leaves.
+        self.says_leaving = False
         self.instance_id = ''
         self._record = record
         self._address = address
@@ -73,6 +80,8 @@
         self._sequence = 0
         self._running = 0
         self._state = 'ready'
+        self.rate_limit_per_s = 0
+        self.says_leaving = False
         self._listener = Listener(self._serve, ServingLimits)
         await self._listener.listen(self._address)
         self._announcing = asyncio.create_task(self._send_heartbeats())
@@ -143,7 +152,7 @@
 
     async def _serve(self, request: IncomingRequest) -> None:
         if request.target == HEALTH_PATH.encode():
-            request.respond(_OK, (self._load_header(),))
+            request.respond(_OK, self._reports())
             return
         expected = get_header(request.headers, _EXPECTED_INSTANCE)
         if expected and expected != self.instance_id:
@@ -177,7 +186,7 @@
         headers = (
             (REQUEST_ID, request_id.encode()),
             (SIGNATURE, instance.encode()),
-            self._load_header(),
+            *self._reports(),
         )
         request.respond(_OK, headers, answer)
 
@@ -186,10 +195,19 @@
         headers = (
             (REQUEST_ID, request_id),
             (_NOT_RUN, b'1'),
-            self._load_header(),
+            *self._reports(),
         )
         request.respond(status, headers)
 
+    def _reports(self) -> Sequence[tuple[bytes, bytes]]:
+        """Return the headers in which the server reports its state."""
+        reports = [self._load_header()]
+        if self.rate_limit_per_s:
+            reports.append((_RATE_LIMIT, b'%d' % self.rate_limit_per_s))
+        if self.says_leaving or self._state == 'draining':
+            reports.append((LEAVING, b'1'))
+        return reports
+
     def _load_header(self) -> tuple[bytes, bytes]:
         running = min(self._running, self.slots)
         waiting = max(0, self._running - self.slots)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -71,6 +71,9 @@
 ENDED = _event(5, EventKind.STOPPED, process='pid 1', detail='code 1')
 SILENT = CUT._replace(detail='no answer in time')
 PAUSED = KILLED._replace(detail='paused')
+LIMITED = _event(0, EventKind.FAILED, subject='i-1', detail='rate limit 2')
+RAISED = LIMITED._replace(at_s=1.5, kind=EventKind.MENDED)
+MANY = [LATE._replace(at_s=2 + step / 10) for step in range(18)]
 ANSWERED = _event(4, EventKind.ANSWERED, request_id='r', digest='other')
 
 
@@ -86,6 +89,9 @@
     ('ran twice', [SENT, STARTED, AGAIN, KILLED, CUT], {'at most once'}),
     ('denied', [SENT, DENIED], {'denied'}),
     ('after its leaving', [LEFT, SENT, LATE, KILLED, CUT], {'leaving'}),
+    ('limit kept', [LIMITED, *MANY[:17], CUT, KILLED], set()),
+    ('limit', [LIMITED, *MANY, CUT, KILLED], {'limit'}),
+    ('limit ended', [LIMITED, RAISED, *MANY, CUT, KILLED], set()),
     ('own end', [ENDED], {'own end'}),
     ('no own answer', [SENT, STARTED, ANSWERED], {'answers'}),
 )
