--- a/soak/_stage.py
+++ b/soak/_stage.py
@@ -37,8 +37,10 @@
 _OK: Final = 200
 _TIMEOUT_S: Final = 1.0
 _RETRY_S: Final = 0.3
-# Each run uses a block of loopback addresses of its own.
-_block_numbers: Final = itertools.count(os.getpid())
+# Each seed uses a block of loopback addresses of its own. Processes that are
+# started together have adjacent ids, and may run this many seeds.
+_SEEDS_PER_PROCESS: Final = 100
+_block_numbers: Final = itertools.count(os.getpid() * _SEEDS_PER_PROCESS)
 _BLOCK_SIZE: Final = 250
 _FIRST_BLOCK: Final = 20
 _BLOCK_COUNT: Final = 100
