Ask a server anew for its limit when its owner learns which run it is

Cause: an owner that has just started asks its server for its limit before the first start. What it learned was forgotten when the announcement named the server: the limit was then taken for "none", and known. The same held for a new run of the server, and for an answer of the run before that arrived after it: either freed all starts that waited, until the next answer. Class of fault: knowledge of one run is used for another.

Change: another run, or the first one that is identified, makes the limit unknown, so that the owner asks before the first start; only an answer to a later request makes it known without a limit. The random steps replace the server and let it announce itself at any moment.

--- a/carobmoor/admission/_rate_limit.py
+++ b/carobmoor/admission/_rate_limit.py
@@ -49,10 +49,12 @@
     def expect_first_answer(self, now_s: float) -> None:
         """Allow only a few starts until an answer tells if there is a limit.
 
-        For a node that has just started: its server may be in need, and may
-        have said so to an earlier start of the node only.
+        For a node that has just started, or whose server has: the server may
+        be in need. Answers to earlier requests may be those of another server.
         """
+        self.per_s = 0
         self.is_known = False
+        self._changed_at_s = now_s
         self._tokens = float(_UNANSWERED_STARTS)
         self._accrued_at_s = now_s
 
@@ -65,27 +67,30 @@
         that was sent before the last change may be older than it, so it can
         only lower the limit.
         """
-        if not self.is_known:
-            self.is_known = True
-            self._tokens = 0
         per_s = 0 if named_per_s is None else max(named_per_s, _MIN_RATE_PER_S)
         is_lower = bool(per_s) and (not self.per_s or per_s < self.per_s)
         is_later = sent_at_s >= self._changed_at_s
-        if per_s == self.per_s or not (is_lower or is_later):
+        if not (is_lower or is_later):
+            return False
+        if not self.is_known:
+            self.is_known = True
+            self._tokens = 0
+        if per_s == self.per_s:
             return False
         self._accrue(now_s)
         self._changed_at_s = now_s
         self.per_s = per_s
         return True
 
-    def follow_server(self, server: str) -> None:
+    def follow_server(self, server: str, now_s: float) -> None:
         """Forget the limit if another server, or another run, took the place.
 
-        `server` identifies the run of the server.
+        `server` identifies the run of the server. What was learned before a
+        server was identified is forgotten too.
         """
         if server != self._server:
             self._server = server
-            self.per_s = 0
+            self.expect_first_answer(now_s)
 
     def may_start(self, now_s: float) -> bool:
         """Return whether a request may start now."""
--- a/carobmoor/admission/tests/test_rate_limit.py
+++ b/carobmoor/admission/tests/test_rate_limit.py
@@ -33,6 +33,7 @@
         self.sent_at_s = {}
         # What the server names at this moment, if anything.
         self.limit_per_s = None
+        self.server_run = 1
         # Whether an answer has named this limit to any start of the owner.
         self.is_known = False
         self.starts_s = []
@@ -101,6 +102,23 @@
             self.is_known = False
             self.starts_s = []
 
+    @rule()
+    def announce(self):
+        """The server announces itself to its owner, mostly once more."""
+        self.desk.state.rate_limit.follow_server(
+            str(self.server_run), self.desk.now_s
+        )
+        self.settle()
+
+    @rule(limit_per_s=strategies.sampled_from((None, *RATES_PER_S)))
+    def replace_server(self, limit_per_s):
+        """Another run takes the place, in need or not, and announces itself."""
+        self.server_run += 1
+        self.limit_per_s = limit_per_s
+        self.is_known = False
+        self.starts_s = []
+        self.announce()
+
     @rule()
     def restart_owner(self):
         """The owner is killed; what it knew and what it ran is gone."""
@@ -213,9 +231,39 @@
 def test_another_run_has_named_no_limit():
     """A server that takes the place, or starts again, begins without one."""
     limit = RateLimit()
-    limit.follow_server('i-1 5')
+    limit.follow_server('i-1 5', 0)
     limit.record_answer(5, 0, 1)
-    limit.follow_server('i-1 5')
+    limit.follow_server('i-1 5', 2)
     assert limit.per_s == 5
-    limit.follow_server('i-1 6')
+    limit.follow_server('i-1 6', 3)
     assert not limit.per_s
+
+
+# Guards against a server in need whose owner takes an answer of the run before
+# for its own.
+def test_answer_of_earlier_run_tells_nothing():
+    """Starts stay few until an answer to a later request."""
+    limit = RateLimit()
+    limit.follow_server('i-1 5', 0)
+    limit.record_answer(None, 1, 1)
+    limit.follow_server('i-1 6', 3)
+    limit.record_answer(None, 2, 3.1)
+    assert not limit.is_known
+    limit.record_answer(None, 3.1, 3.2)
+    assert limit.is_known
+
+
+# Guards against an owner that learns the limit of its server, then which server
+# it is, and then sends it all that waits.
+@params(None, 5)
+def test_few_start_until_announced_server_answers(learned_per_s):
+    """What was learned of a server not yet announced frees no starts."""
+    desk = Desk(policy(slots=100))
+    limit = desk.state.rate_limit
+    limit.expect_first_answer(0)
+    limit.record_answer(learned_per_s, 0, 0)
+    limit.follow_server('i-1 5', 0)
+    for _ in range(50):
+        desk.offer(arrival('upload', deadline_s=1000))
+    desk.start()
+    assert 0 < len(desk.running) <= ALLOWANCE
--- a/carobmoor/mesh/_state.py
+++ b/carobmoor/mesh/_state.py
@@ -256,17 +256,20 @@
         """Update slots and ranks from the concurrency limit and the routes.
 
         A changed number of announced slots starts a new concurrency limit, and
-        another run of the server has named no rate limit.
+        another run of the server has named no rate limit yet.
         """
+        now_s = time.monotonic()
         last = self.backend.last_announcement
         if last is not None:
-            self.rate_limit.follow_server(f'{last.instance_id} {last.born_ms}')
+            self.rate_limit.follow_server(
+                f'{last.instance_id} {last.born_ms}', now_s
+            )
         if (
             last is not None
             and last.slots != self.backend.concurrency_limit.slots
         ):
             self.backend.concurrency_limit = ConcurrencyLimit(last.slots)
-        slots = self.backend.concurrency_limit.current(time.monotonic())
+        slots = self.backend.concurrency_limit.current(now_s)
         targets = {} if self.table is None else _targets_ms(self.table)
         share = 0.5 / max(1, len(targets))
         ranks = [
