--- a/carobmoor/mesh/tests/test_faulty_answers.py
+++ b/carobmoor/mesh/tests/test_faulty_answers.py
@@ -12,7 +12,6 @@
 
 OK = 200
 BAD_GATEWAY = 502
-NOT_RUN = 503
 TEST_TIMEOUT_S = 20
 ROUNDS = 4
 HEALTHY = RawAnswer((b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',))
