Let the soak's operator write the newest version it has

Cause: two publications wait for a store that is down. Each reads the row and writes its own version, so the older one could be written last. The nodes followed the store; the operator of the soak was wrong, as no operator goes back. Class of fault: a retried write that does not look at what came since.

Change: each try writes the newest version.

--- a/soak/_stage.py
+++ b/soak/_stage.py
@@ -152,7 +152,8 @@
     async def publish(self) -> int:
         """Write the next version of the routes, as the operator does.
 
-        Retries until the store has acknowledged it; returns the version.
+        Retries until the store has acknowledged it, or a newer one that is
+        published meanwhile; returns the version.
         """
         self.version += 1
         version = self.version
@@ -161,7 +162,7 @@
             if read_rows is not None:
                 rows = json.loads(read_rows)['rows']
                 before = rows[0]['rowVersion'] if rows else 0
-                if await self._try_put(version, before):
+                if await self._try_put(self.version, before):
                     return version
             await asyncio.sleep(_RETRY_S)
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,6 +1,8 @@
 """Short soak runs with fixed seeds, and the rules on written histories."""
 
 import asyncio
+import base64
+import json
 from typing import Any, NamedTuple
 
 from nose2.tools import params
@@ -9,6 +11,7 @@
 from soak._faults import draw_faults
 from soak._rules import check_history
 from soak._run import run_seed
+from soak._stage import SoakDeployment
 
 SPAN_S = 4
 NODES = 4
@@ -30,6 +33,7 @@
     Run(3, SPAN_S, NODES, 'nothing was read after a large body'),
     Run(6, 8, 5, 'a reload ended a node that was starting'),
     Run(29, 8, 5, 'a frequent request was quarantined for other crashes'),
+    Run(507, 8, 5, 'the operator wrote an older version after a newer one'),
 )
 
 
@@ -42,6 +46,38 @@
     assert verdict.outcomes['answered'] > 0
 
 
+# Guards against a verdict on nodes that follow an operator who, after a newer
+# version, writes the older one that the store had not taken in time.
+def test_delayed_publication_does_not_undo_newer():
+    """Of two publications, whichever is written last holds the newest."""
+    written = asyncio.run(_publish_delayed())
+    assert all('"version": "r2"' in routes for routes in written), written
+
+
+async def _publish_delayed() -> list[str]:
+    """Publish twice, the first one delayed; return what was written."""
+    written: list[str] = []
+    newer_is_written = asyncio.Event()
+
+    async def call_store(method: str, _target: str, body: bytes = b'') -> bytes:
+        if method == 'GET':
+            if deployment.version == 1:
+                await newer_is_written.wait()
+            return json.dumps({'rows': []}).encode()
+        row = json.loads(body)['put'][0]
+        written.append(base64.b64decode(row['value']).decode())
+        return b'{}'
+
+    deployment = SoakDeployment(0)
+    deployment._call_store = call_store
+    delayed = asyncio.create_task(deployment.publish())
+    await asyncio.sleep(0)
+    await deployment.publish()
+    newer_is_written.set()
+    await delayed
+    return written
+
+
 def test_same_seed_draws_same_faults():
     """The same seed draws the same faults, another seed others."""
     assert draw_faults(7, SPAN_S, NODES) == draw_faults(7, SPAN_S, NODES)
