Print the faults that servers report with a broken seed too

Cause: the command line drew the faults of a broken seed again, without those that soak/_report_faults.py adds. One function draws both for the run and for the print. No other change.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,8 +7,7 @@
 
 import fire
 
-from soak._faults import draw_faults
-from soak._run import Verdict, run_seed
+from soak._run import Verdict, draw_all_faults, run_seed
 
 _SHOWN_EVENTS: Final = 6
 
@@ -52,7 +51,7 @@
 def _print_breaches(
     seed: int, span_s: float, nodes: int, verdict: Verdict
 ) -> None:
-    for fault in draw_faults(seed, span_s, nodes):
+    for fault in draw_all_faults(seed, span_s, nodes):
         sys.stdout.write(f'  {fault}\n')
     for breach in verdict.breaches:
         sys.stdout.write(f'  BROKEN {breach.rule}: {breach.detail}\n')
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,6 +12,7 @@
 from carobmoor.transport import ConnectionPool
 from proofs._types import Breach
 from soak._callers import REQUEST_KINDS, RequestKind, call, call_until_cancelled
+from soak._fault import Fault
 from soak._faults import draw_faults, inject_fault
 from soak._pipelining import pipeline_until_cancelled
 from soak._report_faults import draw_reports
@@ -37,6 +38,14 @@
     logs: Mapping[str, str]
 
 
+def draw_all_faults(seed: int, span_s: float, nodes: int) -> Sequence[Fault]:
+    """Draw the faults of a seed, those that servers report among them."""
+    return (
+        *draw_faults(seed, span_s, nodes),
+        *draw_reports(seed, span_s, nodes),
+    )
+
+
 async def run_seed(seed: int, span_s: float, nodes: int) -> Verdict:
     """Play a seed's faults under load, wait for recovery, and check it all."""
     async with SoakDeployment(nodes) as deployment:
@@ -47,10 +56,7 @@
             for _ in range(_CALLERS_PER_NODE):
                 calling = _call_while_ready(deployment, called_place, rng)
                 tasks.append(asyncio.create_task(calling))
-        faults = (
-            *draw_faults(seed, span_s, nodes),
-            *draw_reports(seed, span_s, nodes),
-        )
+        faults = draw_all_faults(seed, span_s, nodes)
         await asyncio.gather(
             *(inject_fault(deployment, fault) for fault in faults)
         )
