--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,7 +3,7 @@
 A test listed there with `test: ` is expected to fail, and its failure is
 printed. The run fails if an unlisted test fails, or if a listed test passes or
 no longer exists. A test listed with `flaky: ` may pass or fail; its outcome is
-printed.
+printed. A played day listed with `day: ` is printed and not run.
 Run it as `python -m tools.run_tests`; arguments are passed on to nose2.
 """
 
@@ -19,13 +19,14 @@
 _KNOWN_RED: Final = Path('KNOWN-RED.txt')
 _TEST_FIELD: Final = 'test: '
 _FLAKY_FIELD: Final = 'flaky: '
+_DAY_FIELD: Final = 'day: '
 
 
 def read_known_failures(
     path: Path,
     field: str = _TEST_FIELD,
 ) -> Sequence[str]:
-    """Return the tests listed under `field`, `test: ` or `flaky: `."""
+    """Return what is listed under `field`: `test: `, `flaky: ` or `day: `."""
     if not path.exists():
         return ()
     return [
@@ -59,6 +60,8 @@
     for name in sorted(flaky & OutcomeRecorder.ran):
         outcome = 'failed' if name in failed else 'passed'
         sys.stdout.write(f'KNOWN FLAKY, {outcome}: {name}\n')
+    for day in read_known_failures(_KNOWN_RED, _DAY_FIELD):
+        sys.stdout.write(f'KNOWN RED DAY, not run: {day}\n')
     unexpected = find_unexpected(failed - flaky, known)
     for name in sorted(unexpected):
         sys.stdout.write(f'UNEXPECTED OUTCOME: {name}\n')
--- a/tools/tests/test_run_tests.py
+++ b/tools/tests/test_run_tests.py
@@ -24,5 +24,8 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'KNOWN-RED.txt'
         assert read_known_failures(path) == ()
-        path.write_text('# note\ntest: a.b.test_c\nseen: red\n')
+        path.write_text(
+            '# note\ntest: a.b.test_c\nseen: red\nday: d --seed 1\n'
+        )
         assert read_known_failures(path) == ['a.b.test_c']
+        assert read_known_failures(path, 'day: ') == ['d --seed 1']
