Let idle connections expire before the time that their servers name

What callers see: a request that may run once is sent on an idle connection just as its server closes it, and ends with 502, since it may have run.

The pool kept every idle connection for 20 s.

Change: a connection expires 0.2 s before the time that its last answer has named, or after 20 s as before. Malformed content names nothing.

Evidence: test_idle_connection_expires_in_time failed before for both servers that name one second (1 connection instead of 3); 99 tests of the transport pass.

--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -1,6 +1,8 @@
 """Client connection to a backend server or node, without pipelining."""
 
 import asyncio
+import math
+import re
 import select
 import socket
 from collections import deque
@@ -25,6 +27,9 @@
 _LINGER_S: Final = 10
 _LAST_INFORMATIONAL_STATUS: Final = 199
 _BODILESS_STATUSES: Final = frozenset((204, 304))
+_KEEP_ALIVE: Final = b'keep-alive'
+# Seconds until the peer closes the connection, if it stays idle.
+_IDLE_TIMEOUT: Final = re.compile(r'\btimeout=(\d{1,9})\b')
 _FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 # A connection whose peer acknowledges nothing is dropped after about three
 # seconds, which bounds how long it looks usable after a network partition.
@@ -49,7 +54,8 @@
         """Create the state; the event loop connects it."""
         self.peer = peer
         self.step = Step.CONNECT
-        self.idle_since_s = float(0)
+        # When an idle connection is closed, on the clock of the event loop.
+        self.expires_at_s = float(0)
         self.is_answer_complete = False
         self.is_request_incomplete = False
         self.close_reason = ''
@@ -116,6 +122,18 @@
             return True
         return self._head is not None and bool(self._named_request(self._head))
 
+    @property
+    def named_idle_s(self) -> float:
+        """How long the peer keeps the connection idle; infinite if unnamed.
+
+        That is the timeout in the `Keep-Alive` header of the last answer.
+        """
+        if self._head is None:
+            return math.inf
+        content = get_header(self._head.headers, _KEEP_ALIVE)
+        named = _IDLE_TIMEOUT.search(content)
+        return math.inf if named is None else float(named[1])
+
     @property
     def is_silent(self) -> bool:
         """Whether the peer has sent nothing since the last answer.
--- a/carobmoor/transport/_pool.py
+++ b/carobmoor/transport/_pool.py
@@ -12,6 +12,8 @@
 from carobmoor.transport._steps import CallFailure, Step
 
 _IDLE_LIFETIME_S: Final = 20
+# A connection expires this long before its peer closes it, if that is known.
+_IDLE_MARGIN_S: Final = 0.2
 _MAX_IDLE_PER_PEER: Final = 64
 CONNECT_TIMEOUT_S: Final = 2
 
@@ -20,8 +22,8 @@
     """A pool of client connections that are reused after complete answers.
 
     Connections are reused last in, first out, so that those left over from a
-    burst expire. They expire before peers close them, so that a request
-    rarely meets a connection that is just being closed.
+    burst expire. They expire before peers close them, as their answers name
+    it, so that a request rarely meets a connection that is just being closed.
     """
 
     def __init__(self, tls: ssl.SSLContext | None = None) -> None:
@@ -49,7 +51,8 @@
         if not connection.is_reusable or len(idle) >= _MAX_IDLE_PER_PEER:
             connection.close('connection not reusable or pool full')
             return
-        connection.idle_since_s = _now_s()
+        idle_s = min(_IDLE_LIFETIME_S, connection.named_idle_s - _IDLE_MARGIN_S)
+        connection.expires_at_s = _now_s() + idle_s
         idle.append(connection)
 
     def abandon(self, connection: Connection, reason: str) -> None:
@@ -87,11 +90,10 @@
 
     def _pop_idle(self, address: Address) -> Connection | None:
         idle = self._idle.get(address)
-        min_idle_since_s = _now_s() - _IDLE_LIFETIME_S
+        now_s = _now_s()
         while idle:
             connection = idle.pop()
-            is_fresh = connection.idle_since_s > min_idle_since_s
-            if is_fresh and connection.is_silent:
+            if connection.expires_at_s > now_s and connection.is_silent:
                 return connection
             connection.close('idle connection expired, got data or was closed')
         return None
--- a/carobmoor/transport/tests/test_reuse.py
+++ b/carobmoor/transport/tests/test_reuse.py
@@ -18,6 +18,7 @@
 )
 SURPLUS_ANSWER = KEEP_ALIVE_ANSWER + b'late bytes'
 CALL_COUNT = 3
+IDLE_S = 0.9
 
 
 @params(
@@ -30,7 +31,24 @@
     assert asyncio.run(count_connections(answer)) == connections
 
 
-async def count_connections(answer: bytes) -> int:
+# Guards against a request that is lost on an idle connection, which its server
+# closes at the time that its last answer has named.
+@params(
+    ('timeout=1', CALL_COUNT),
+    ('max=100, timeout=1', CALL_COUNT),
+    ('timeout=9', 1),
+    ('timeout=', 1),
+    ('max=1', 1),
+)
+def test_idle_connection_expires_in_time(named, connections):
+    """A connection is not reused shortly before the named timeout."""
+    answer = KEEP_ALIVE_ANSWER.replace(
+        b'\r\n\r\n', f'\r\nKeep-Alive: {named}\r\n\r\n'.encode()
+    )
+    assert asyncio.run(count_connections(answer, IDLE_S)) == connections
+
+
+async def count_connections(answer: bytes, idle_s: float = 0) -> int:
     """Call a server with a fixed answer and return its connection count."""
     opened: list[asyncio.StreamWriter] = []
 
@@ -51,7 +69,7 @@
         request = OutgoingRequest('GET', '/', ())
         called = await request_json(pool, address, request, 5)
         assert called.is_ok()
-        await asyncio.sleep(0)
+        await asyncio.sleep(idle_s)
     pool.close()
     server.close()
     return len(opened)
