Allow hedges in the test of requests that a limit moves, and count them

The requests are idempotent, and hedges have their budget.

Change: each request must reach a server, and what starts twice must be among the hedges that the nodes have counted. That is as strict where nothing is hedged.

--- a/carobmoor/mesh/tests/test_rate_limit.py
+++ b/carobmoor/mesh/tests/test_rate_limit.py
@@ -3,7 +3,8 @@
 import asyncio
 import time
 
-from carobmoor.mesh.tests.fixtures import Mesh, NodeWithServer
+from carobmoor.mesh.tests.fixtures import SERVICE, Mesh, NodeWithServer
+from carobmoor.mesh.tests.scripted import NAMES
 from carobmoor.mesh.tests.test_membership import run
 from carobmoor.transport import IncomingRequest, JsonAnswer, get_header
 
@@ -29,6 +30,13 @@
     )
 
 
+def count_resends(pair: NodeWithServer) -> float:
+    """Return how many hedges and retries a node has sent."""
+    registry = pair.node.metrics.registry
+    labels = {'service': SERVICE}
+    return registry.get_sample_value('carobmoor_repeated_sends_total', labels) or 0
+
+
 async def ask_in_rounds(mesh: Mesh, nodes: int) -> list[int]:
     """Send requests to the first nodes; return the statuses."""
     asked = []
@@ -69,7 +77,11 @@
         limited, free = (pair.backend.received_requests for pair in mesh.nodes)
         assert set(statuses) == {OK}
         assert most_in_window(limited) <= 1.5 * RATE_PER_S * WINDOW_S + 5
-        assert len(limited) + len(free) == ROUNDS * ROUND
+        received = limited + free
+        names = {get_header(one.headers, NAMES.request_id) for one in received}
+        assert len(names) == ROUNDS * ROUND
+        # What waits at the limited server may be hedged at the other one.
+        assert len(received) - len(names) <= sum(map(count_resends, mesh.nodes))
 
     run(check, 2)
 
