--- a/carobmoor/mesh/tests/test_rate_limit.py
+++ b/carobmoor/mesh/tests/test_rate_limit.py
@@ -34,7 +34,9 @@
     """Return how many hedges and retries a node has sent."""
     registry = pair.node.metrics.registry
     labels = {'service': SERVICE}
-    return registry.get_sample_value('carobmoor_repeated_sends_total', labels) or 0
+    return (
+        registry.get_sample_value('carobmoor_repeated_sends_total', labels) or 0
+    )
 
 
 async def ask_in_rounds(mesh: Mesh, nodes: int) -> list[int]:
