--- a/carobmoor/admission/_rate_limit.py
+++ b/carobmoor/admission/_rate_limit.py
@@ -13,7 +13,7 @@
 # A server that names a lower rate gets this one: its answers alone tell when
 # the limit ends.
 _MIN_RATE_PER_S: Final = 0.25
-# Starts of a node before the first answer, besides those at the lowest rate.
+# Starts at a server before its first answer, besides those at the lowest rate.
 _UNANSWERED_STARTS: Final = 4
 
 
@@ -111,9 +111,9 @@
             self._tokens += 1
 
     def wait_s(self, ahead: int, now_s: float) -> float:
-        """Return when a request may start that has so many ahead of it.
+        """Return how long a request waits that has so many ahead of it.
 
-        It is a time from now: zero if the limit allows a start at once.
+        Zero if the limit allows its start at once.
         """
         if not self.per_s:
             return 0
--- a/carobmoor/admission/_rate_limited_queue.py
+++ b/carobmoor/admission/_rate_limited_queue.py
@@ -21,10 +21,10 @@
     """Return which of a rank's requests, in their order, start too late.
 
     The requests of more urgent ranks go first. Without a limit, the list is
-    empty. A newcomer that makes any of them late is to be refused, since those
-    that wait have been accepted. `margin_s` is kept free for it alone, so that
-    a request does not become late by a start that comes a little later than
-    was expected.
+    empty. Requests that wait have been accepted, so a newcomer is refused if
+    it makes any of them late. Only that check passes `margin_s`, the time that
+    must be left after each start: it leaves room for starts that come a little
+    later than was expected.
     """
     if not state.rate_limit.per_s:
         return []
--- a/carobmoor/mesh/_attempt.py
+++ b/carobmoor/mesh/_attempt.py
@@ -105,7 +105,7 @@
     if chosen is not None:
         pending.chosen = _inputs_of(chosen, time.monotonic())
     elif any(peer.address not in pending.tried for peer in candidates):
-        # Only rate limits keep the choice from a candidate.
+        # Only a rate limit excludes a candidate that was not tried.
         pending.record_failure(
             NotRun(Code.RATE_LIMITED, 'choice', pending.service)
         )
--- a/carobmoor/mesh/_owner.py
+++ b/carobmoor/mesh/_owner.py
@@ -129,7 +129,8 @@
     """
     await wait_after_pause(node)
     if not node.rate_limit.is_known:
-        # After a start of this node, its server may be in need or leave.
+        # The node or its server has just started; the server may be in need
+        # or leave.
         await node.slowdown_monitor.refresh()
     refusal = _ownership_refusal(node, owner_request)
     if refusal is not None:
