--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -464,6 +464,7 @@
         self.folder = Path(folder)
         self.record = Record(self.folder / 'record.txt')
         self.routes = routes
+        self.target_latency = '500ms'
         self.version = 0
         self._ids = iter(range(1, 1_000_000))
         self._scratch = tempfile.TemporaryDirectory(prefix='review-')
@@ -517,7 +518,7 @@
                     'attempts': attempts,
                 },
                 'routeType': kind,
-                'targetLatency': '500ms',
+                'targetLatency': self.target_latency,
                 'priority': 1,
             }
             for prefix, service, kind, timeout, attempts in self.routes
