--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 import stage as staging
 
@@ -29,7 +29,8 @@
 async def upload(stage, server, number, in_chunks):
     """Send a lookup and then an upload on one connection.
 
-    Returns the id of the upload, and its status or 0 without a whole answer.
+    Returns the id of the upload, and its status 0 if the connection ended without an
+    answer, or -1 if there was none in time.
     """
     body = random.Random(number).randbytes(BODY_BYTES)
     lookup_id, upload_id = f'lookup-{number}', f'upload-{number}'
@@ -61,7 +62,11 @@
             answer = await answered
         stage.record('answered', id=upload_id, status=answer.status)
         return upload_id, answer.status
-    except (OSError, EOFError, TimeoutError) as error:
+    except TimeoutError:
+        # The connection was not closed, which is another matter.
+        stage.record('no answer in time', id=upload_id)
+        return upload_id, -1
+    except (OSError, EOFError) as error:
         stage.record('no answer', id=upload_id, reason=repr(error))
         return upload_id, 0
     finally:
--- a/review/common/stage.py
+++ b/review/stage.py
@@ -20,7 +20,7 @@
 import urllib.parse
 from pathlib import Path
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 HOST = 'shop.example'
 HEALTH_PATH = '/health'
 NODE_PORT, APP_PORT, READY_PORT = 8300, 8301, 8302
@@ -124,6 +124,7 @@
         self.address = address
         # '' serves, 'busy' answers 503, 'silent' answers nothing.
         self.mode = ''
+        self.server = None
         self._record = record
         self._tables = {}
         self._version = 0
@@ -248,7 +249,6 @@
         self.state = 'ready'
         self.instance_id = ''
         self.says_leaving = False
-        self.sends_heartbeats = True
         # Called with a request that is about to run; may return an answer.
         self.on_run = None
         self.running = 0
@@ -310,9 +310,8 @@
 
     async def _send_heartbeats(self):
         while True:
-            if self.sends_heartbeats:
-                await self.check_in()
-            await asyncio.sleep(HEARTBEAT_S if self.sequence > 3 else 0.5)
+            acknowledged = await self.check_in()
+            await asyncio.sleep(HEARTBEAT_S if acknowledged else 0.5)
 
     def reports(self):
         busy = min(self.running, self.slots)
@@ -344,6 +343,8 @@
             self.stage.record(
                 'head arrives', server=self.instance_id, id=request_id
             )
+        deadline_ms = request.get('x-carobmoor-deadline-ms') or 10_000
+        until_s = time.monotonic() + int(deadline_ms) / 1000
         await read_body(reader, request)
         if request.target == HEALTH_PATH:
             status = 200 if self.state == 'ready' else 503
@@ -369,11 +370,15 @@
         self.running += 1
         try:
             async with self._slots:
-                return await self._run(request, headers, reader, writer)
+                if time.monotonic() >= until_s:
+                    return encode_answer(503, [*headers, not_run])
+                return await self._run(
+                    request, headers, until_s, reader, writer
+                )
         finally:
             self.running -= 1
 
-    async def _run(self, request, headers, reader, writer):
+    async def _run(self, request, headers, until_s, reader, writer):
         request_id = request.get('x-carobmoor-request-id')
         self.stage.record(
             'runs', server=self.instance_id, id=request_id, at=self.ip
@@ -383,12 +388,17 @@
             if answer is not None:
                 return answer or None
         gone = asyncio.ensure_future(reader.read(1))
-        await asyncio.wait((gone,), timeout=self.work_s)
+        left_s = until_s - time.monotonic()
+        await asyncio.wait((gone,), timeout=min(self.work_s, left_s))
         if gone.done():
             self.stage.record('dropped', server=self.instance_id, id=request_id)
             return None
         gone.cancel()
         await asyncio.wait((gone,))
+        if left_s < self.work_s:
+            # The deadline has passed; the request counts as run.
+            signed = ('X-Carobmoor-Response-Signature', f'sig.{request_id}')
+            return encode_answer(504, [*headers, signed])
         body = f'{request_id} {request.target}'.encode()
         signed = ('X-Carobmoor-Response-Signature', f'sig.{request_id}')
         return encode_answer(200, [*headers, signed], body)
@@ -465,6 +475,7 @@
         self.record = Record(self.folder / 'record.txt')
         self.routes = routes
         self.target_latency = '500ms'
+        self.memory_mb = 300
         self.version = 0
         self._ids = iter(range(1, 1_000_000))
         self._scratch = tempfile.TemporaryDirectory(prefix='review-')
@@ -478,6 +489,13 @@
         self.nodes = {}
 
     async def __aenter__(self):
+        try:
+            return await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def _start(self):
         await self.store.start()
         self.publish()
         for server in self.servers:
@@ -495,7 +513,8 @@
                 process.kill()
         for process in self.nodes.values():
             await process.wait()
-        self.store.server.close()
+        if self.store.server is not None:
+            self.store.server.close()
         others = asyncio.all_tasks() - {asyncio.current_task()}
         for task in others:
             task.cancel()
@@ -597,6 +616,7 @@
             'internalPorts': f'{GOSSIP_PORT},{GOSSIP_PORT + 15}',
             'seeds': '',
             'bootstrap': 'true' if is_first else 'false',
+            'limits.memoryMb': self.memory_mb,
             'heartbeat': f'{int(HEARTBEAT_S * 1000)}ms',
             'contracts': 'base,drain,config,cost,retry,recover,health,platform',
             'bounds': BOUNDS,
@@ -649,7 +669,8 @@
             target,
             headers,
             body,
-            deadline_ms / 1000 + 2,
+            # The margin of the way back; nobody waits longer.
+            deadline_ms / 1000 + 0.1,
             pieces,
         )
         self.record(
