Log what a refused request had sent

The log of a refused upload read "head of 102606 bytes exceeds the limit", which did not tell a head that is too large from chunk sizes or a body that count as one. The event now has the size of the head and of the body received so far, and whether the request was answered already.

--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import select
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from typing import Final
 
@@ -379,6 +379,7 @@
             peer=self.peer,
             status=int(status),
             reason=reason,
+            **self._progress(),
         )
         if self._is_reading_started():
             # Its handler would answer a second time.
@@ -393,6 +394,15 @@
         )
         slot.end()
 
+    def _progress(self) -> Mapping[str, int]:
+        """Return what was received of the request being read, for the log."""
+        request = self._reading_request
+        return {
+            'head_bytes': 0 if request is None else request.head_bytes,
+            'body_bytes': self._body_bytes,
+            'answered': 0 if request is None else int(request.has_ended),
+        }
+
     def _is_reading_started(self) -> bool:
         """Drop the request that is being read, unless it was started."""
         request, last = self._reading_request, self._order.last
