Don't count bodies in chunks as heads over the limit

Cause: a read and the callbacks of the parser shared one count. on_body set it to minus the length of the chunk, and data_received then added the whole read. So all chunks of a read but the last counted as chunk sizes and trailers, and a read of more than maxHeaderBytes was refused; the log shows a head of 102 bytes, and a "head" of 102606 bytes when 207666 of the body had come. The same count took the end of a body, or requests that came before in the read, for the head of the upload behind them, and the head of an upload that came with its body was judged by other bytes than one that came alone.

Change: the parser gets a read in slices of 1 KiB (the rest of a declared body in one), and only slices in which it reports nothing count (transport/_framing.py). Heads and trailers are judged by the fields that the parser reports, however they are cut. What was received of a body is read at once, so that chunks of one byte don't cost a write each.

--- a/carobmoor/transport/_incoming.py
+++ b/carobmoor/transport/_incoming.py
@@ -81,7 +81,7 @@
         self.is_complete = False
         self.has_started = False
         self.has_ended = False
-        # Size of the target and the headers.
+        # Size of the target and the headers received so far.
         self.head_bytes = 0
         self.buffered_bytes = 0
         self.peer = peer
@@ -116,7 +116,7 @@
             self._waiter.set_result(None)
 
     async def read_chunk(self) -> bytes:
-        """Return the next chunk of the body; empty at its end.
+        """Return what was received of the body; empty at its end.
 
         Raises `CallerLost` if the peer closes the connection first.
         """
@@ -128,12 +128,13 @@
             await self._waiter
         if not self._chunks:
             return b''
-        chunk = self._chunks.popleft()
-        self.buffered_bytes -= len(chunk)
-        return chunk
+        received = b''.join(self._chunks)
+        self._chunks.clear()
+        self.buffered_bytes = 0
+        return received
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body that were not read yet."""
+        """Yield the parts of the body that were not read yet."""
         while chunk := await self.read_chunk():
             yield chunk
 
--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -14,6 +14,7 @@
     AnswerSlot,
     HeldBytes,
 )
+from carobmoor.transport._framing import SLICE_BYTES, FramingMeter, slices
 from carobmoor.transport._incoming import (
     CallerLost,
     IncomingRequest,
@@ -106,10 +107,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
-        self._head_bytes = 0
+        self._framing = FramingMeter()
         self._body_bytes = 0
-        # Received in a body since its last chunk: chunk sizes and trailers.
-        self._bytes_without_body = 0
+        # The length that the head of the request being read declares.
+        self._declared_bytes = 0
+        # Of the header fields behind a body in chunks.
+        self._trailer_bytes = 0
+        # The limit that was in force when the request being read began.
+        self._max_head_bytes = listener.limits().max_head_bytes
         # No more requests are taken: one was refused or closes the connection.
         self._is_input_ended = False
         self._is_refused = False
@@ -126,23 +131,10 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse received data; refuse invalid or oversized requests."""
-        if self._is_input_ended and self._reading_request is None:
-            return
-        if self._is_in_head:
-            self._head_bytes += len(received)
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
-            self._refuse(HTTPStatus.BAD_REQUEST, str(error))
-            return
-        except httptools.HttpParserUpgrade:
-            # `on_headers_complete` has refused the request.
-            return
-        if self._is_in_head:
-            self._check_head_size(self._head_bytes)
-        else:
-            self._bytes_without_body += len(received)
-            self._check_head_size(self._bytes_without_body)
+        for piece in slices(received, self._next_slice_bytes):
+            if self._is_input_ended and self._reading_request is None:
+                return
+            self._parse(piece)
 
     def eof_received(self) -> None:
         """Treat a half-close by the peer as a lost connection."""
@@ -169,23 +161,38 @@
         """Start another request."""
         if self._is_input_ended:
             return
+        self._framing.restart()
         self._reading_request = IncomingRequest(self.peer)
         self._body_bytes = 0
-        self._bytes_without_body = 0
-        self._start_timer(
-            self._listener.limits().head_timeout_s, self._refuse_late_head
-        )
+        self._declared_bytes = 0
+        self._trailer_bytes = 0
+        limits = self._listener.limits()
+        self._max_head_bytes = limits.max_head_bytes
+        self._start_timer(limits.head_timeout_s, self._refuse_late_head)
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the request target."""
-        if self._reading_request is not None:
-            self._reading_request.target += part
+        request = self._reading_request
+        if request is not None:
+            self._framing.restart()
+            request.target += part
+            request.head_bytes += len(part)
+            self._check_head_size(request.head_bytes)
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Record a header; trailers are dropped."""
         request = self._reading_request
-        if request is not None and not request.method:
-            request.headers.append((name.lower(), content))
+        if request is None:
+            return
+        self._framing.restart()
+        field_bytes = len(name) + len(content)
+        if request.method:
+            self._trailer_bytes += field_bytes
+            self._check_head_size(self._trailer_bytes)
+            return
+        request.headers.append((name.lower(), content))
+        request.head_bytes += field_bytes
+        self._check_head_size(request.head_bytes)
 
     def on_headers_complete(self) -> None:
         """Add the request, whose body may not be complete yet."""
@@ -193,14 +200,14 @@
         if request is None or self._is_input_ended:
             return
         self._cancel_timer()
+        self._framing.restart()
         request.method = self._parser.get_method().decode('ascii')
         if self._parser.should_upgrade():
             self._refuse(
                 HTTPStatus.BAD_REQUEST, 'protocol upgrade not supported'
             )
-        request.head_bytes = _size_of_head(request)
-        self._check_head_size(request.head_bytes)
-        self._check_body_size(request.body_bytes)
+        self._declared_bytes = request.body_bytes
+        self._check_body_size(self._declared_bytes)
         if self._is_input_ended:
             return
         slot = self._order.append(request)
@@ -216,8 +223,8 @@
         request = self._reading_request
         if request is None:
             return
+        self._framing.restart()
         self._body_bytes += len(chunk)
-        self._bytes_without_body = -len(chunk)
         self._check_body_size(self._body_bytes)
         if self._reading_request is request:
             request.feed(chunk)
@@ -227,7 +234,7 @@
         """Mark the request as complete, so that it may overlap others."""
         request = self._reading_request
         self._reading_request = None
-        self._head_bytes = 0
+        self._framing.restart()
         if request is None:
             return
         request.is_complete = True
@@ -290,8 +297,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
-        is_busy = self._order.first or self._reading_request
-        if not is_busy and not self._head_bytes:
+        if self._order.first is None and self._reading_request is None:
             self._transport.close()
 
     def _start_due(self) -> None:
@@ -347,12 +353,30 @@
                 request.wake()
         self._order.clear()
 
-    @property
-    def _is_in_head(self) -> bool:
-        return self._reading_request is None or not self._reading_request.method
+    def _next_slice_bytes(self) -> int:
+        """Return how much to parse at once: the rest of a declared body."""
+        if self._reading_request is None or not self._reading_request.method:
+            return SLICE_BYTES
+        return max(SLICE_BYTES, self._declared_bytes - self._body_bytes)
+
+    def _parse(self, piece: bytes | memoryview) -> None:
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserError as error:
+            self._refuse(HTTPStatus.BAD_REQUEST, str(error))
+            return
+        except httptools.HttpParserUpgrade:
+            # `on_headers_complete` has refused the request.
+            return
+        self._framing.add(len(piece))
+        if self._framing.exceeds(self._max_head_bytes):
+            self._refuse(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f'{self._framing.unreported_bytes} bytes of framing in a row',
+            )
 
     def _check_head_size(self, head_bytes: int) -> None:
-        if head_bytes > self._listener.limits().max_head_bytes:
+        if head_bytes > self._max_head_bytes:
             status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             self._refuse(
                 status, f'head of {head_bytes} bytes exceeds the limit'
@@ -495,8 +519,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _size_of_head(request: IncomingRequest) -> int:
-    fields = sum(len(name) + len(text) for name, text in request.headers)
-    return fields + len(request.target)
--- /dev/null
+++ b/carobmoor/transport/tests/test_framing.py
@@ -0,0 +1,140 @@
+"""Bytes of bodies never count as heads, chunk sizes or trailers.
+
+A read may hold the end of a body, whole requests and many chunks. What is
+large in total but no head is accepted, however it is cut; what is too large
+is refused with a status that the caller gets.
+"""
+
+import asyncio
+from collections.abc import Iterator
+
+from nose2.tools import params
+
+from carobmoor.transport import ServingLimits
+from carobmoor.transport.tests.fixtures import (
+    PipelinedConnection,
+    get,
+    post,
+)
+
+LIMITS = ServingLimits(max_head_bytes=16_384, max_in_progress=4)
+READ_BYTES = 262_144
+BODY = bytes(range(256)) * 1172
+CHUNKED_HEAD = b'POST /chunked HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
+ANSWER_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+STRAY_HEAD = b'HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: %d\r\n\r\n'
+# An extension as signers of chunks send it.
+SIGNATURE = b';chunk-signature=%b' % (b'5' * 64)
+FIELD = b'name: 0123456789\r\n'
+LINE_END = b'\r\n'
+TIMEOUT_S = 5
+# Requests before an upload, four of which overlap.
+MAX_TURNS = 1000
+LAST_CHUNK = b'0\r\n'
+
+
+def in_chunks(body: bytes, chunk_bytes: int, extension: bytes = b'') -> bytes:
+    """Encode a body in chunks of a size."""
+    parts = [
+        b'%x%b\r\n%b\r\n' % (len(part), extension, part)
+        for part in cut(body, chunk_bytes)
+    ]
+    return b''.join((*parts, LAST_CHUNK, LINE_END))
+
+
+def cut(sent: bytes, part_bytes: int) -> Iterator[bytes]:
+    """Cut bytes into parts of a size."""
+    for start in range(0, len(sent), part_bytes):
+        yield sent[start : start + part_bytes]
+
+
+async def receive(sent: bytes, read_bytes: int) -> PipelinedConnection:
+    """Read bytes on a new connection, in reads of a size."""
+    caller = PipelinedConnection(LIMITS)
+    for read in cut(sent, read_bytes):
+        await caller.receive(read)
+    return caller
+
+
+async def read_body(caller: PipelinedConnection, name: str) -> bytes:
+    """Return the body of a request, and answer it."""
+    chunks = caller.requests[name].chunks()
+    async with asyncio.timeout(TIMEOUT_S):
+        body = b''.join([chunk async for chunk in chunks])
+    await caller.finish(name)
+    return body
+
+
+# Guards against an upload that is reset, or refused as a head over its limit,
+# because all chunks of a read but the last counted as framing.
+@params(
+    (1, b'', READ_BYTES),
+    (1, SIGNATURE, READ_BYTES),
+    (7, b'', 1024),
+    (4096, b'', READ_BYTES),
+    (4096, SIGNATURE, READ_BYTES),
+    (4096, b'', 1000),
+    (4096, b'', 100_000),
+    (65_536, b'', READ_BYTES),
+    (300_032, b'', READ_BYTES),
+)
+def test_chunks_of_any_size_are_accepted(chunk_bytes, extension, read_bytes):
+    """A body in chunks arrives whole, whatever the chunks and the reads."""
+    sent = CHUNKED_HEAD + in_chunks(BODY, chunk_bytes, extension)
+    assert asyncio.run(_receive_upload(sent, read_bytes)) == BODY
+
+
+async def _receive_upload(sent: bytes, read_bytes: int) -> bytes:
+    caller = await receive(sent, read_bytes)
+    body = await read_body(caller, '/chunked')
+    assert caller.transport.written.startswith(b'HTTP/1.1 200 ')
+    assert not caller.transport.ended
+    caller.close()
+    return body
+
+
+# Guards against counting the end of a body, or pipelined requests, as the head
+# of the upload behind them in the same read.
+@params(
+    (post('/first', BODY), READ_BYTES),
+    (post('/first', BODY), 100_000),
+    (CHUNKED_HEAD.replace(b'chunked ', b'first ') + in_chunks(BODY, 512), 9000),
+    (b''.join(get(f'/{number}') for number in range(2000)), READ_BYTES),
+)
+def test_upload_behind_other_requests_is_accepted(before, read_bytes):
+    """What came before an upload in the same read is not its head."""
+    upload = CHUNKED_HEAD + in_chunks(BODY[:9000], 512)
+    asyncio.run(_receive_behind(before, upload, read_bytes))
+
+
+async def _receive_behind(
+    before: bytes, upload: bytes, read_bytes: int
+) -> None:
+    caller = await receive(before + upload[:-5], read_bytes)
+    for _ in range(MAX_TURNS):
+        for name in caller.running:
+            if name != '/chunked':
+                await read_body(caller, name)
+    await caller.receive(upload[-5:])
+    assert await read_body(caller, '/chunked') == BODY[:9000]
+    assert not caller.transport.ended
+    caller.close()
+
+
+# Guards against a head within its limit that is refused because it was cut, or
+# because its body came in the same read.
+@params(1, 100, 1000, READ_BYTES)
+def test_head_at_the_limit_is_accepted(read_bytes):
+    """Separators and white space don't count, however the head is cut."""
+    field = b'x: ' + b'1' * 99 + LINE_END
+    # The target has 1 byte, content-length 15, and each field 100.
+    fields = field * ((LIMITS.max_head_bytes - 16) // 100)
+    head = b'POST / HTTP/1.1\r\ncontent-length: 1\r\n%b\r\n' % fields
+    assert len(head) > LIMITS.max_head_bytes
+    asyncio.run(_receive_one(head + b'a', read_bytes))
+
+
+async def _receive_one(sent: bytes, read_bytes: int) -> None:
+    caller = await receive(sent, read_bytes)
+    assert await read_body(caller, '/') == b'a'
+    caller.close()
