Answer what is too large in a request whose handler runs

Callers saw a reset where a body in chunks was over its limit, or chunk sizes, extensions and trailers were: the head of such a request has been passed on to its handler, and a refusal reset the connection, since the handler would answer a second time. A request that had been answered before its body arrived got the refusal as a second answer, which its caller would take for that of its next request.

Now the refusal is the answer, if the handler has not begun one: the handler finds its caller gone and what it writes is dropped, as after a disconnect. Behind an answer that was sent the connection is closed without another one. An answer that has begun is still cut off, so that it doesn't look complete.

--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -405,10 +405,28 @@
             reason=reason,
             **self._progress(),
         )
-        if self._is_reading_started():
-            # Its handler would answer a second time.
-            self._transport.abort()
-            return
+        request = self._reading_request
+        self._reading_request = None
+        if request is not None and request.has_ended:
+            # Its caller has the answer, and would take this for the next one.
+            self._close_gracefully()
+            self._mark_lost()
+        elif self._remove_unstarted(request):
+            self._append_refusal(status)
+        elif request is not None:
+            self._refuse_started(request, status)
+
+    def _remove_unstarted(self, request: IncomingRequest | None) -> bool:
+        """Drop the request being read; return `False` if it was started."""
+        last = self._order.last
+        if request is None or last is None or last.request is not request:
+            return True
+        if last.is_started:
+            return False
+        self._order.remove_last()
+        return True
+
+    def _append_refusal(self, status: HTTPStatus) -> None:
         slot = self._order.append(None)
         slot.closes_connection = True
         slot.is_started = True
@@ -427,17 +445,22 @@
             'answered': 0 if request is None else int(request.has_ended),
         }
 
-    def _is_reading_started(self) -> bool:
-        """Drop the request that is being read, unless it was started."""
-        request, last = self._reading_request, self._order.last
-        if request is None or last is None or last.request is not request:
-            self._reading_request = None
-            return False
-        if last.is_started:
-            return True
-        self._reading_request = None
-        self._order.remove_last()
-        return False
+    def _refuse_started(
+        self, request: IncomingRequest, status: HTTPStatus
+    ) -> None:
+        """Answer a request whose handler runs, unless that has begun to.
+
+        The handler finds its caller gone; what it writes is dropped.
+        """
+        if request.has_started:
+            self._transport.abort()
+            return
+        slot = self._order.last
+        if slot is not None:
+            slot.closes_connection = True
+        request.disconnected.set_result(None)
+        request.wake()
+        request.respond(status)
 
     def _close_after(self, slot: AnswerSlot) -> None:
         """Close after the last answer, or after one that broke off."""
--- a/carobmoor/transport/tests/test_framing.py
+++ b/carobmoor/transport/tests/test_framing.py
@@ -138,3 +138,67 @@
     caller = await receive(sent, read_bytes)
     assert await read_body(caller, '/') == b'a'
     caller.close()
+
+
+SLOW_START = CHUNKED_HEAD + b'3\r\nabc\r\n'
+
+
+# Guards against framing without end, and against a refusal that no caller sees
+# because the connection is reset.
+@params(
+    (b'GET /%b HTTP/1.1\r\n\r\n' % (b'a' * 20_000), 431),
+    (b'GET / HTTP/1.1\r\n%b\r\n' % (FIELD * 2000), 431),
+    (b'GET / HTTP/1.1\r\nname: %b' % (b'a' * 20_000), 431),
+    (SLOW_START + b'3;%b\r\nabc\r\n' % (b'x' * 20_000), 431),
+    (SLOW_START + b'0' * 20_000 + b'3\r\nabc\r\n', 431),
+    (SLOW_START + LAST_CHUNK + FIELD * 2000, 431),
+    (SLOW_START + LAST_CHUNK + b'name: %b' % (b'a' * 20_000), 431),
+    (SLOW_START + b'not a size\r\n', 400),
+)
+def test_too_much_framing_is_refused(sent, status):
+    """What is too large gets a status, in one read or in many."""
+    for read_bytes in (100, 5000, READ_BYTES):
+        asyncio.run(_receive_refused(sent, read_bytes, status))
+
+
+async def _receive_refused(sent: bytes, read_bytes: int, status: int) -> None:
+    caller = await receive(sent, read_bytes)
+    assert caller.transport.written.startswith(b'HTTP/1.1 %d ' % status)
+    assert caller.transport.written.count(b'HTTP/1.1') == 1
+    assert b'connection: close' in caller.transport.written
+    assert caller.transport.ended == 'half-closed'
+    assert not caller.running
+    caller.close()
+
+
+# Guards against an upload over the limit that is reset instead of refused.
+def test_too_large_body_in_chunks_is_refused():
+    """A body in chunks over its limit gets a status."""
+    asyncio.run(_refuse_large_body())
+
+
+async def _refuse_large_body() -> None:
+    caller = PipelinedConnection(LIMITS._replace(max_body_bytes=10_000))
+    await caller.receive(CHUNKED_HEAD + in_chunks(BODY[:5000], 100)[:-5])
+    assert caller.running == ['/chunked']
+    await caller.receive(in_chunks(BODY[:5001], 100))
+    assert caller.transport.written.startswith(b'HTTP/1.1 413 ')
+    assert caller.transport.ended == 'half-closed'
+    assert caller.requests['/chunked'].disconnected.done()
+    caller.close()
+
+
+# Guards against a second answer, which the caller would take for that of its
+# next request.
+def test_answered_upload_gets_no_second_answer():
+    """An upload that was answered early and is too large is cut off."""
+    asyncio.run(_exceed_after_answer())
+
+
+async def _exceed_after_answer() -> None:
+    caller = await receive(SLOW_START, READ_BYTES)
+    await caller.finish('/chunked')
+    await caller.receive(b'3;%b\r\nabc\r\n' % (b'x' * 20_000))
+    assert caller.transport.written.count(b'HTTP/1.1') == 1
+    assert caller.transport.ended == 'half-closed'
+    caller.close()
