Don't count bodies of answers as bytes without a body

Callers could see a 502, or an answer that breaks off, where a server answers in small chunks or chunks with extensions, or where a late answer of over 256 KiB to another request precedes the awaited one.

Cause: the same count as at the listeners, on the connections to servers, nodes and the store. A read counted in full but for its last chunk, and a skipped body counted in full, against 262144 bytes; a read of that size and a few bytes of framing in the next one closed the connection.

Now the framing is counted in slices of 16 KiB in which no body came, as at the listeners, and skipped bodies have a limit of their own, 4 MiB a request.

Endless stray answers were cut off before and are now.

--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from carobmoor.transport._framing import FramingMeter, slices
 from carobmoor.transport._messages import (
     AnswerHead,
     OutgoingRequest,
@@ -21,6 +22,10 @@
 _PAUSE_READING_BYTES: Final = 262144
 # Received between two parts of a body: heads, chunk sizes, trailers.
 _MAX_BYTES_WITHOUT_BODY: Final = 262144
+# How much of a read is parsed at once.
+_SLICE_BYTES: Final = 16384
+# Received of answers to other requests before the answer that is awaited.
+_MAX_SKIPPED_BYTES: Final = 4_194_304
 # Received after the reader has left, until the peer closes.
 _MAX_ABANDONED_BYTES: Final = 262144
 # How long an abandoned connection waits for the peer to close it.
@@ -68,7 +73,8 @@
         self._buffered_bytes = 0
         self._is_reading_paused = False
         self._peer_keeps_alive = False
-        self._bytes_without_body = 0
+        self._framing = FramingMeter()
+        self._skipped_bytes = 0
         self._abandoned_bytes = 0
         self._is_bodiless = False
         # Without a length or chunks, the body ends when the peer closes.
@@ -161,18 +167,14 @@
         if self._is_abandoned:
             self._check_abandoned(len(received))
             return
-        if self.is_answer_complete or self.step is Step.BEFORE_FIRST_BYTE:
-            self.close(
-                f'received {len(received)} bytes with no request pending'
-            )
-            return
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
-            self.close(f'malformed answer: {error}')
-        except httptools.HttpParserUpgrade:
-            self.close('the peer switched protocols, which is not supported')
-        self._check_progress(len(received))
+        for piece in slices(received, _next_slice_bytes):
+            if self.is_answer_complete or self.step is Step.BEFORE_FIRST_BYTE:
+                self.close(
+                    f'received {len(piece)} bytes with no request pending'
+                )
+            if not self.is_open:
+                return
+            self._parse(piece)
 
     def eof_received(self) -> None:
         """End a body without a length when the peer closes."""
@@ -233,14 +235,15 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Buffer a chunk and pause reading while the buffer is full."""
+        self._framing.restart()
         if self._is_skipping:
+            self._skip(len(chunk))
             return
         if self.is_answer_complete:
             self.close('received data after the end of the answer')
             return
         self._chunks.append(chunk)
         self._buffered_bytes += len(chunk)
-        self._bytes_without_body = -len(chunk)
         if self._buffered_bytes > _PAUSE_READING_BYTES:
             self._pause_reading()
         self._wake()
@@ -258,7 +261,8 @@
         """Reset the state for the next request."""
         self.step = Step.BEFORE_FIRST_BYTE
         self.is_answer_complete = False
-        self._bytes_without_body = 0
+        self._framing = FramingMeter()
+        self._skipped_bytes = 0
         self._is_bodiless = False
         self._ends_with_close = False
         self._is_skipping = False
@@ -289,20 +293,21 @@
         return self._head
 
     async def read_chunk(self) -> bytes:
-        """Return the next chunk of the body.
+        """Return what was received of the body.
 
-        An empty chunk means the end if `is_answer_complete` is true, and a
+        An empty result means the end if `is_answer_complete` is true, and a
         lost connection otherwise.
         """
         while not self.is_readable:
             await self._wait()
         if not self._chunks:
             return b''
-        chunk = self._chunks.popleft()
-        self._buffered_bytes -= len(chunk)
-        if self._is_reading_paused and not self._chunks:
+        received = b''.join(self._chunks)
+        self._chunks.clear()
+        self._buffered_bytes = 0
+        if self._is_reading_paused:
             self._resume_reading()
-        return chunk
+        return received
 
     def close(self, reason: str) -> None:
         """Close at once and drop unsent data."""
@@ -329,14 +334,26 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
-    def _check_progress(self, received_bytes: int) -> None:
-        """Close if the peer sends much that is no part of a body."""
-        self._bytes_without_body += received_bytes
-        if self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY:
+    def _parse(self, piece: bytes | memoryview) -> None:
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserError as error:
+            self.close(f'malformed answer: {error}')
+        except httptools.HttpParserUpgrade:
+            self.close('the peer switched protocols, which is not supported')
+        self._framing.add(len(piece))
+        if self._framing.exceeds(_MAX_BYTES_WITHOUT_BODY):
             self.close(
-                f'received {self._bytes_without_body} bytes without a body'
+                f'received {self._framing.unreported_bytes} bytes '
+                'without a body'
             )
 
+    def _skip(self, received_bytes: int) -> None:
+        """Close if answers to other requests go on for long."""
+        self._skipped_bytes += received_bytes
+        if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+            self.close(f'received {self._skipped_bytes} bytes of other answers')
+
     def _check_abandoned(self, received_bytes: int) -> None:
         self._abandoned_bytes += received_bytes
         if self._abandoned_bytes > _MAX_ABANDONED_BYTES:
@@ -395,3 +412,7 @@
             await self._waiter
         finally:
             self._waiter = None
+
+
+def _next_slice_bytes() -> int:
+    return _SLICE_BYTES
--- a/carobmoor/transport/tests/test_framing.py
+++ b/carobmoor/transport/tests/test_framing.py
@@ -7,15 +7,17 @@
 
 import asyncio
 from collections.abc import Iterator
+from unittest.mock import MagicMock
 
 from nose2.tools import params
 
-from carobmoor.transport import ServingLimits
+from carobmoor.transport import Connection, OutgoingRequest, ServingLimits
 from carobmoor.transport.tests.fixtures import (
     PipelinedConnection,
     get,
     post,
 )
+from carobmoor.transport.tests.test_fuzz_answers import connection_with_request
 
 LIMITS = ServingLimits(max_head_bytes=16_384, max_in_progress=4)
 READ_BYTES = 262_144
@@ -23,6 +25,7 @@
 CHUNKED_HEAD = b'POST /chunked HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
 ANSWER_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 STRAY_HEAD = b'HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: %d\r\n\r\n'
+OWN_ANSWER = b'HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 3\r\n\r\nown'
 # An extension as signers of chunks send it.
 SIGNATURE = b';chunk-signature=%b' % (b'5' * 64)
 FIELD = b'name: 0123456789\r\n'
@@ -202,3 +205,50 @@
     assert caller.transport.written.count(b'HTTP/1.1') == 1
     assert caller.transport.ended == 'half-closed'
     caller.close()
+
+
+# Guards against an answer that is cut off because chunks counted as framing.
+@params((1, b''), (1, SIGNATURE), (4096, b''), (4096, SIGNATURE))
+def test_answer_in_chunks_of_any_size_is_read(chunk_bytes, extension):
+    """An answer in chunks arrives whole, whatever the chunks."""
+    body = BODY * 2
+    sent = ANSWER_HEAD + in_chunks(body, chunk_bytes, extension)
+    # Without the last bytes in one read, and only framing in the next.
+    for read_bytes in (READ_BYTES, len(sent) - 7, 5000):
+        connection, transport = connection_with_request()
+        for read in cut(sent, read_bytes):
+            connection.data_received(read)
+        assert not transport.is_closing()
+        assert connection.is_answer_complete
+        assert asyncio.run(connection.read_chunk()) == body
+
+
+# Guards against losing an answer because a late, large answer to another
+# request came before it.
+def test_large_answer_to_another_request_is_skipped():
+    """A whole answer of 300 KB to another request is skipped."""
+    connection, transport = _connection_with_id()
+    connection.data_received(STRAY_HEAD % len(BODY) + BODY)
+    connection.data_received(OWN_ANSWER)
+    assert not transport.is_closing()
+    assert asyncio.run(connection.read_chunk()) == b'own'
+
+
+# Guards against a server that sends answers to other requests without end.
+@params(STRAY_HEAD % 10_000_000 + BODY, (STRAY_HEAD % 9 + BODY[:9]) * 2000)
+def test_endless_answers_to_other_requests_close(sent):
+    """The connection to a server that sends only such answers is closed."""
+    connection, transport = _connection_with_id()
+    for _ in range(MAX_TURNS):
+        if not transport.is_closing():
+            connection.data_received(sent)
+            sent = sent if sent.endswith(BODY[:9]) else BODY
+    assert transport.is_closing()
+
+
+def _connection_with_id() -> tuple[Connection, MagicMock]:
+    connection, transport = connection_with_request()
+    connection.request = OutgoingRequest(
+        'GET', '/', (), echoed_header=(b'x-id', b'own')
+    )
+    return connection, transport
