Raise one error for all that can't be decoded

Reported by other operators: one odd entry, nested very deeply, with a number too large or a port out of range, ended the machines that read the list again and again, or they stopped following it.

- A value nested some thousand deep raises RecursionError, in fields that a decoder only skips as well, and behind the last item of a row.
Nothing expected that: a node that started beside such a row read the rows anew every half second, logged the failure of its task and never got ready.
- Whole numbers had no bound.
One beyond 64 bits in the own row made the record of the node unsendable, beyond 308 digits the choice of a server failed; the same for the load that a server reports ("inf" raised OverflowError), slots, versions and durations.
- A port out of range raised OverflowError at connecting.

carobmoor.decoding now has the one decoder, which raises msgspec.DecodeError for all of it, and the bounds of numbers in messages; addresses, durations, versions, instance ids and starts are checked where they are parsed.

--- a/carobmoor/burn/_messages.py
+++ b/carobmoor/burn/_messages.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-import msgspec
+from carobmoor.decoding import decoder_of
 
 
 class Cause(enum.StrEnum):
@@ -69,9 +69,9 @@
     rate_by_minute: Sequence[tuple[int, float]]
 
 
-_decoder: Final = msgspec.json.Decoder(list[Snapshot])
+_decode: Final = decoder_of(list[Snapshot])
 
 
 def decode_snapshots(body: bytes) -> Sequence[Snapshot]:
     """Decode snapshots from JSON; raises `msgspec.DecodeError`."""
-    return _decoder.decode(body)
+    return _decode(body)
--- a/carobmoor/cli/_timeline.py
+++ b/carobmoor/cli/_timeline.py
@@ -10,12 +10,13 @@
 from fire.decorators import SetParseFn
 
 from carobmoor.cli._output import fail
+from carobmoor.decoding import decoder_of
 
 # How long before the last line of a request the lines about its owners are
 # included.
 _CONTEXT_S: Final = 5
 _HIDDEN_FIELDS: Final = frozenset(('event', 'timestamp', 'level', 'request_id'))
-_decoder: Final = msgspec.json.Decoder(dict[str, Any])
+_decode: Final = decoder_of(dict[str, Any])
 
 
 class LogLine(NamedTuple):
@@ -58,7 +59,7 @@
     for raw in text:
         prefix, brace, rest = raw.partition('{')
         try:
-            fields = _decoder.decode(f'{brace}{rest}'.strip())
+            fields = _decode(f'{brace}{rest}'.strip())
             logged_at = datetime.fromisoformat(str(fields.get('timestamp', '')))
         except (msgspec.DecodeError, ValueError):
             continue
--- a/carobmoor/client/_policies.py
+++ b/carobmoor/client/_policies.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from carobmoor.client._dispatch import Dispatcher
+from carobmoor.decoding import decoder_of
 from carobmoor.retries import RetryPolicy
 from carobmoor.routing import RoutingPolicy
 
@@ -16,7 +17,7 @@
     retries: RetryPolicy
 
 
-_decoder: Final = msgspec.json.Decoder(PolicyDocument)
+_decode: Final = decoder_of(PolicyDocument)
 
 
 def policies_of(dispatcher: Dispatcher) -> PolicyDocument:
@@ -36,7 +37,7 @@
 def apply_policies(dispatcher: Dispatcher, body: bytes) -> None:
     """Apply the policies received from a node; ignore an invalid document."""
     try:
-        document = _decoder.decode(body)
+        document = _decode(body)
     except msgspec.DecodeError:
         return
     dispatcher.routing.replace_policy(document['routing'])
--- a/carobmoor/configuration/_collect.py
+++ b/carobmoor/configuration/_collect.py
@@ -14,6 +14,7 @@
     build_change,
 )
 from carobmoor.configuration._store import load_piece
+from carobmoor.decoding import decode_json
 from carobmoor.store import Store
 
 PIECES_TARGET: Final = '/_carobmoor/configuration/pieces'
@@ -116,7 +117,7 @@
         if response_body is None:
             return {}
         try:
-            texts = msgspec.json.decode(response_body, type=dict[str, str])
+            texts = decode_json(response_body, dict[str, str])
         except msgspec.DecodeError:
             return {}
         return verified_texts(texts)
@@ -136,7 +137,7 @@
 
     Raises `msgspec.DecodeError` if the body cannot be decoded.
     """
-    digests = msgspec.json.decode(body, type=list[str])
+    digests = decode_json(body, list[str])
     texts = {digest: state.find_text(digest) for digest in digests}
     return msgspec.json.encode(
         {digest: text for digest, text in texts.items() if text is not None},
--- a/carobmoor/configuration/_follow.py
+++ b/carobmoor/configuration/_follow.py
@@ -36,6 +36,7 @@
     load_manifest,
     read_head,
 )
+from carobmoor.decoding import decode_json
 from carobmoor.store import Store, jitter_factor
 from carobmoor.telemetry import logger_for
 
@@ -140,9 +141,7 @@
         if response_body is None:
             return False
         try:
-            missed_versions = msgspec.json.decode(
-                response_body, type=MissedVersions
-            )
+            missed_versions = decode_json(response_body, MissedVersions)
         except msgspec.DecodeError:
             return False
         snapshot = snapshot_after(self.state, missed_versions)
@@ -291,5 +290,5 @@
 
     Raises `msgspec.DecodeError` if the body cannot be decoded.
     """
-    version = msgspec.json.decode(body, type=int)
+    version = decode_json(body, int)
     return msgspec.json.encode(missed_versions_since(state, version))
--- a/carobmoor/configuration/_pieces.py
+++ b/carobmoor/configuration/_pieces.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from carobmoor.configuration._document import Document, ServiceDocument
+from carobmoor.decoding import decode_json
 
 _SERVICES: Final = 'services'
 
@@ -79,8 +80,8 @@
     for service in services:
         digest = manifest.services.get(service)
         if digest is not None:
-            declared[service] = msgspec.json.decode(texts[digest])
-    common: Any = msgspec.json.decode(texts[manifest.common])
+            declared[service] = decode_json(texts[digest])
+    common: Any = decode_json(texts[manifest.common])
     document: Any = {**common, _SERVICES: declared}
     return document
 
--- a/carobmoor/configuration/_store.py
+++ b/carobmoor/configuration/_store.py
@@ -13,6 +13,7 @@
 
 from carobmoor.configuration._document import Document
 from carobmoor.configuration._pieces import Manifest, digest_of
+from carobmoor.decoding import decode_json
 from carobmoor.store import Row, Store, StoreFailure, StoreFault
 
 _TABLE: Final = 'configuration'
@@ -123,7 +124,7 @@
 ) -> Result[Document, StoreFailure]:
     """Read the whole document of a version."""
     fetched = await store.get_object(_BUCKET, head.digest)
-    return fetched.map(msgspec.json.decode)
+    return fetched.map(decode_json)
 
 
 async def load_manifest(
@@ -136,7 +137,7 @@
     key = _manifest_key(head.digest)
     fetched = await store.get_object(_BUCKET, key)
     return fetched.map(
-        lambda body: msgspec.json.decode(body, type=Manifest),
+        lambda body: decode_json(body, Manifest),
     )
 
 
@@ -180,7 +181,7 @@
 
 
 def _decode_head(row: Row) -> Head:
-    return msgspec.json.decode(row.content, type=Head)
+    return decode_json(row.content, Head)
 
 
 def _history_key(version: int) -> str:
--- /dev/null
+++ b/carobmoor/decoding/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `carobmoor.decoding`, and the odd values of other tests."""
--- a/carobmoor/explain/_messages.py
+++ b/carobmoor/explain/_messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-import msgspec
+from carobmoor.decoding import decoder_of
 
 _MS_PER_S: Final = 1000
 
@@ -33,7 +33,7 @@
     steps: Sequence[RequestStep]
 
 
-_decoder: Final = msgspec.json.Decoder(RequestRecord)
+_decode: Final = decoder_of(RequestRecord)
 
 
 def decode_record(body: bytes) -> RequestRecord:
@@ -41,7 +41,7 @@
 
     Raises `msgspec.DecodeError` if the body is not a record.
     """
-    return _decoder.decode(body)
+    return _decode(body)
 
 
 def render_records(records: Sequence[RequestRecord]) -> str:
--- a/carobmoor/history/_events.py
+++ b/carobmoor/history/_events.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from carobmoor.decoding import decode_json
+
 
 class EventKind(enum.StrEnum):
     """The kind of an event."""
@@ -72,7 +74,7 @@
 
     Raises `ValueError` or `TypeError` if it is not an event.
     """
-    fields = msgspec.json.decode(line)
+    fields = decode_json(line)
     if not isinstance(fields, dict) or not Event._field_defaults.keys() >= (
         fields.keys() - {'at_s', 'process', 'kind'}
     ):
--- a/carobmoor/idempotency/_messages.py
+++ b/carobmoor/idempotency/_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from carobmoor.decoding import decoder_of
 from carobmoor.tickets import Ticket
 
 
@@ -37,7 +38,7 @@
     ending: StoredResult | None = None
 
 
-_decoder: Final = msgspec.json.Decoder(Claim)
+_decode: Final = decoder_of(Claim)
 
 
 def encode_claim(claim: Claim) -> bytes:
@@ -47,4 +48,4 @@
 
 def decode_claim(content: bytes) -> Claim:
     """Decode a claim; raises `msgspec.DecodeError`."""
-    return _decoder.decode(content)
+    return _decode(content)
--- a/carobmoor/membership/_messages.py
+++ b/carobmoor/membership/_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from carobmoor.decoding import decoder_of
+
 
 class MemberStatus(enum.IntEnum):
     """Status of a member; within one incarnation the higher value wins."""
@@ -94,15 +96,15 @@
     members: Sequence[Member]
 
 
-_members_decoder: Final = msgspec.json.Decoder(list[Member])
-_datagram_decoder: Final = msgspec.json.Decoder(Datagram)
+_members_decode: Final = decoder_of(list[Member])
+_datagram_decode: Final = decoder_of(Datagram)
 
 
 def decode_members(body: bytes) -> Sequence[Member]:
     """Decode a list of members; raises `msgspec.DecodeError`."""
-    return _members_decoder.decode(body)
+    return _members_decode(body)
 
 
 def decode_datagram(body: bytes) -> Datagram:
     """Decode a datagram; raises `msgspec.DecodeError`."""
-    return _datagram_decoder.decode(body)
+    return _datagram_decode(body)
--- a/carobmoor/membership/_sync.py
+++ b/carobmoor/membership/_sync.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err
 
+from carobmoor.decoding import decode_json
 from carobmoor.membership._digest import bucket_of, differing_buckets
 from carobmoor.membership._merge import corrections, merge
 from carobmoor.membership._messages import (
@@ -78,7 +79,7 @@
     if response_body is None:
         return None
     try:
-        addresses = msgspec.json.decode(response_body, type=list[str])
+        addresses = decode_json(response_body, list[str])
     except msgspec.DecodeError:
         return None
     return [parse_address(each) for each in addresses]
@@ -94,7 +95,7 @@
     Nodes that start at once then don't all fetch the members from the same
     few first contacts. Raises `msgspec.DecodeError`.
     """
-    region = msgspec.json.decode(body, type=str)
+    region = decode_json(body, str)
     alive = [
         member
         for member in state.others()
@@ -122,7 +123,7 @@
     if response_body is None:
         return False
     try:
-        theirs = msgspec.json.decode(response_body, type=SyncAnswer)
+        theirs = decode_json(response_body, SyncAnswer)
     except msgspec.DecodeError:
         return False
     ours = _members_in_buckets(state, theirs.buckets)
@@ -136,7 +137,7 @@
 
 def answer_digests(state: MembershipState, body: bytes) -> bytes:
     """Answer the digests of another node; raises `msgspec.DecodeError`."""
-    theirs = msgspec.json.decode(body, type=list[int])
+    theirs = decode_json(body, list[int])
     if len(theirs) != len(state.digests):
         raise msgspec.DecodeError(
             f'expected {len(state.digests)} digests, got {len(theirs)}',
--- a/carobmoor/mesh/_backend.py
+++ b/carobmoor/mesh/_backend.py
@@ -2,6 +2,7 @@
 
 from typing import Final, NamedTuple
 
+from carobmoor.decoding import MAX_COUNT
 from carobmoor.mesh._concurrency_limit import ConcurrencyLimit
 from carobmoor.mesh._messages import Announcement, ServerStatus
 from carobmoor.mesh._windowed_minimum import WindowedMinimum
@@ -40,9 +41,9 @@
     parts = content.split(',')
     try:
         numbers = [int(float(part)) for part in parts]
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
-    if len(numbers) < _MIN_PARTS:
+    if len(numbers) < _MIN_PARTS or max(numbers) > MAX_COUNT:
         return None
     slowdown_percent: int | None = None
     if len(numbers) > _SLOWDOWN_PART:
--- a/carobmoor/mesh/_hop.py
+++ b/carobmoor/mesh/_hop.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from carobmoor.decoding import Count, decoder_of
 from carobmoor.routes import RouteKind
 
 HOP_HEADER: Final = b'x-carobmoor-hop'
@@ -14,7 +15,7 @@
 
     service: str
     kind: RouteKind
-    priority: int
+    priority: Count
     # Time until the deadline of the caller or the route's timeout.
     remaining_ms: float
     # Time until the route's target latency; negative once it has passed.
@@ -27,7 +28,7 @@
     body_digest: str
 
 
-_decoder = msgspec.json.Decoder(Hop)
+_decode: Final = decoder_of(Hop)
 
 
 def encode_hop(hop: Hop) -> bytes:
@@ -38,6 +39,6 @@
 def decode_hop(content: str) -> Hop | None:
     """Decode the content of the header; `None` if absent or malformed."""
     try:
-        return _decoder.decode(content)
+        return _decode(content)
     except msgspec.DecodeError:
         return None
--- a/carobmoor/mesh/_own_row.py
+++ b/carobmoor/mesh/_own_row.py
@@ -155,7 +155,8 @@
         self._etag = etag
         self._written = record
         node = self._node
-        if not record.instance_id or record.service != node.settings.service:
+        is_usable = record.instance_id and record.slots
+        if not is_usable or record.service != node.settings.service:
             return
         status = (
             ServerStatus.LEAVING if record.is_leaving else ServerStatus.READY
--- a/carobmoor/node/_configuration_routes.py
+++ b/carobmoor/node/_configuration_routes.py
@@ -23,6 +23,7 @@
     read_history,
     validate_document,
 )
+from carobmoor.decoding import decode_json
 from carobmoor.node._operator_scope import refuse_out_of_scope
 from carobmoor.node._responses import (
     OK,
@@ -118,7 +119,7 @@
     node: NodeState, operator: Operator, body: bytes
 ) -> Response:
     try:
-        submitted = msgspec.json.decode(body, type=SubmissionBody)
+        submitted = decode_json(body, SubmissionBody)
     except (msgspec.DecodeError, RecursionError) as error:
         return not_run_response(node, Code.BAD_REQUEST, str(error))
     submitted_document = await _submitted_document(node, submitted)
--- a/carobmoor/node/_ticket_routes.py
+++ b/carobmoor/node/_ticket_routes.py
@@ -8,6 +8,7 @@
 from blacksheep import Application, Content, Request, Response
 from result import Err
 
+from carobmoor.decoding import decode_json
 from carobmoor.node._state import NodeState
 from carobmoor.outcomes import (
     Code,
@@ -47,7 +48,7 @@
     async def ticket(request: Request) -> Response:
         body = await request.read() or b''
         try:
-            ticket_request = msgspec.json.decode(body, type=TicketRequest)
+            ticket_request = decode_json(body, TicketRequest)
         except msgspec.DecodeError as error:
             detail = str(error)
             return _failure_response(
--- a/carobmoor/outcomes/_wire.py
+++ b/carobmoor/outcomes/_wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from carobmoor.decoding import decoder_of
 from carobmoor.outcomes._failures import Code, Failure, NotRun, Unknown
 
 OUTCOME_HEADER: Final = 'x-carobmoor-outcome'
@@ -21,7 +22,7 @@
 
 
 _CODES: Final = frozenset(Code)
-_decoder: Final = msgspec.json.Decoder(FailureDocument)
+_decode: Final = decoder_of(FailureDocument)
 
 
 def encode_failure(failure: Failure, request_id: str) -> bytes:
@@ -49,7 +50,7 @@
     and is an unknown outcome too.
     """
     try:
-        document = _decoder.decode(body)
+        document = _decode(body)
     except msgspec.DecodeError:
         return Unknown(
             'awaiting_answer',
--- a/carobmoor/platform/_discovery.py
+++ b/carobmoor/platform/_discovery.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from carobmoor.decoding import Count, decoder_of
 from carobmoor.mesh import Announcement, ServerStatus
 from carobmoor.platform._names import DEREGISTER, HEARTBEAT, INSTANCES_PATH
 from carobmoor.platform._units import parse_duration_ms, parse_ip_port
@@ -18,14 +19,14 @@
 
 class _InstanceInfo(msgspec.Struct):
     service: str
-    slots: int
+    slots: Count
     zone: str = ''
     version: str = ''
 
 
 class _InstanceStatus(msgspec.Struct, rename='camel'):
     state: str
-    sequence: int
+    sequence: Count
     cold_remaining: str = '0ms'
 
 
@@ -34,15 +35,15 @@
     about: _InstanceInfo = msgspec.field(name='info')
     status: _InstanceStatus
     # Start time of the backend server in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 class _Deregistration(msgspec.Struct):
-    born: int = 0
+    born: Count = 0
 
 
-_heartbeat_decoder: Final = msgspec.json.Decoder(_Heartbeat)
-_deregistration_decoder: Final = msgspec.json.Decoder(_Deregistration)
+_heartbeat_decode: Final = decoder_of(_Heartbeat)
+_deregistration_decode: Final = decoder_of(_Deregistration)
 
 
 def decode_announcement(
@@ -69,13 +70,11 @@
     body: bytes,
 ) -> Result[Announcement, str]:
     if call == DEREGISTER:
-        born_ms = (
-            _deregistration_decoder.decode(body).born if body.strip() else 0
-        )
+        born_ms = _deregistration_decode(body).born if body.strip() else 0
         return Ok(Announcement(instance_id, ServerStatus.GONE, born_ms))
     if call != HEARTBEAT:
         return Err(f'unknown announcement call {call!r}')
-    heartbeat = _heartbeat_decoder.decode(body)
+    heartbeat = _heartbeat_decode(body)
     member_status = _STATUS_BY_STATE.get(heartbeat.status.state)
     if member_status is None:
         return Err(f'{instance_id}: unknown state {heartbeat.status.state!r}')
--- a/carobmoor/platform/_document.py
+++ b/carobmoor/platform/_document.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from carobmoor.decoding import Count, decoder_of
 from carobmoor.platform._units import parse_duration_ms, parse_version
 from carobmoor.routes import (
     CallerLimits,
@@ -29,8 +30,8 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: Count
+    max_body_bytes: Count
     header_timeout: str
     idle_timeout: str
 
@@ -46,7 +47,7 @@
 
 class _Action(msgspec.Struct, rename='camel'):
     timeout: str
-    attempts: int
+    attempts: Count
     service: str = ''
     traffic_split: Sequence[_WeightedService] = ()
 
@@ -57,7 +58,7 @@
     route_type: str
     name: str = ''
     target_latency: str = '1s'
-    priority: int = _DEFAULT_PRIORITY
+    priority: Count = _DEFAULT_PRIORITY
 
 
 class _Listener(msgspec.Struct, rename='camel'):
@@ -68,7 +69,7 @@
 class _Cluster(msgspec.Struct, rename='camel'):
     name: str
     health_check_path: str = '/health'
-    max_connections: int = 1
+    max_connections: Count = 1
 
 
 class _Document(msgspec.Struct):
@@ -79,7 +80,7 @@
     clusters: Sequence[_Cluster]
 
 
-_decoder: Final = msgspec.json.Decoder(_Document, strict=False)
+_decode: Final = decoder_of(_Document, strict=False)
 
 
 def decode_document(content: bytes) -> Result[RouteTable, str]:
@@ -88,7 +89,7 @@
     `Err` holds a message that says what is wrong.
     """
     try:
-        return Ok(_build_table(_decoder.decode(content)))
+        return Ok(_build_table(_decode(content)))
     except (msgspec.DecodeError, ValueError) as error:
         return Err(str(error))
 
--- a/carobmoor/platform/_units.py
+++ b/carobmoor/platform/_units.py
@@ -5,8 +5,8 @@
 
 from carobmoor.transport import Address, parse_address
 
-_DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
-_VERSION: Final = re.compile(r'r(\d+)')
+_DURATION: Final = re.compile(r'([0-9]{1,15}(?:\.[0-9]{1,15})?)(ms|s)')
+_VERSION: Final = re.compile(r'r([0-9]{1,18})')
 _MS_PER_S: Final = 1000
 
 
--- a/carobmoor/quarantine/_messages.py
+++ b/carobmoor/quarantine/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from carobmoor.decoding import decoder_of
 from carobmoor.quarantine._fingerprint import RequestIdentity
 
 _MAX_NAME_LENGTH: Final = 512
@@ -77,7 +78,7 @@
 
 MarkList = Annotated[list[Mark], msgspec.Meta(max_length=_MAX_MARKS)]
 
-_decoder: Final = msgspec.json.Decoder(MarkList)
+_decode: Final = decoder_of(MarkList)
 
 
 def encode_marks(marks: Sequence[Mark]) -> bytes:
@@ -87,4 +88,4 @@
 
 def decode_marks(body: bytes) -> Sequence[Mark]:
     """Decode marks; raises `msgspec.DecodeError`, also beyond a limit."""
-    return _decoder.decode(body)
+    return _decode(body)
--- a/carobmoor/routing/_messages.py
+++ b/carobmoor/routing/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from carobmoor.decoding import decoder_of
 from carobmoor.transport import Address
 
 REPORT_HEADER: Final = b'x-carobmoor-report'
@@ -76,7 +77,7 @@
     may_leave_region: bool = True
 
 
-_decoder: Final = msgspec.json.Decoder(LoadReport)
+_decode: Final = decoder_of(LoadReport)
 
 
 def encode_report(report: LoadReport) -> bytes:
@@ -89,7 +90,7 @@
     if not content:
         return None
     try:
-        report = _decoder.decode(content)
+        report = _decode(content)
     except msgspec.DecodeError:
         return None
     return report if report.slots > 0 else None
--- a/carobmoor/tickets/_messages.py
+++ b/carobmoor/tickets/_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from carobmoor.decoding import decoder_of
+
 TICKET_HEADER: Final = b'x-carobmoor-ticket'
 GRANT_HEADER: Final = b'x-carobmoor-ticket-grant'
 REPEATABLE_HEADER: Final = b'x-carobmoor-repeatable'
@@ -83,8 +85,8 @@
     LOST = 'lost'
 
 
-_ticket_decoder: Final = msgspec.json.Decoder(Ticket)
-_grant_decoder: Final = msgspec.json.Decoder(TicketGrant)
+_ticket_decode: Final = decoder_of(Ticket)
+_grant_decode: Final = decoder_of(TicketGrant)
 
 
 def encode_ticket(ticket: Ticket) -> bytes:
@@ -95,7 +97,7 @@
 def decode_ticket(content: str | bytes) -> Ticket | None:
     """Decode a ticket; return `None` if it is malformed."""
     try:
-        return _ticket_decoder.decode(content)
+        return _ticket_decode(content)
     except msgspec.DecodeError:
         return None
 
@@ -108,6 +110,6 @@
 def decode_grant(content: str | bytes) -> TicketGrant | None:
     """Decode a grant; return `None` if it is empty or malformed."""
     try:
-        return _grant_decoder.decode(content)
+        return _grant_decode(content)
     except msgspec.DecodeError:
         return None
--- a/carobmoor/transport/_json.py
+++ b/carobmoor/transport/_json.py
@@ -5,9 +5,9 @@
 from collections.abc import Sequence
 from typing import Any, Final, NamedTuple
 
-import msgspec
 from result import Err, Ok, Result
 
+from carobmoor.decoding import decode_json
 from carobmoor.transport._exchange import Answer, AnswerIncomplete, send
 from carobmoor.transport._messages import (
     Address,
@@ -32,7 +32,7 @@
 
         Raises `msgspec.DecodeError` if the body does not fit the type.
         """
-        return msgspec.json.decode(self.body, type=expected_type)
+        return decode_json(self.body, expected_type)
 
 
 async def request_json(
--- a/carobmoor/transport/_messages.py
+++ b/carobmoor/transport/_messages.py
@@ -1,7 +1,11 @@
 """Types of the requests that are sent and of their answers."""
 
+import re
 from collections.abc import AsyncIterator, Sequence
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+_MAX_PORT: Final = 65_535
+_PORT: Final = re.compile('[0-9]{1,5}')
 
 HeaderList = Sequence[tuple[bytes, bytes]]
 
@@ -60,7 +64,9 @@
 def parse_address(text: str) -> Address:
     """Parse an address given as `ip:port`.
 
-    Raises `ValueError` if the port is missing or not a number.
+    Raises `ValueError` if the port is missing or no port number.
     """
     ip, _, port = text.rpartition(':')
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
+        raise ValueError(f'{text!r} has no port from 0 to {_MAX_PORT}')
     return Address(ip, int(port))
--- a/carobmoor/transport/_pool.py
+++ b/carobmoor/transport/_pool.py
@@ -113,7 +113,8 @@
                     address.port,
                     ssl=self._tls,
                 )
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Not all addresses that other processes name can be connected to.
             reason = str(error) or type(error).__name__
             return Err(CallFailure(Step.CONNECT, peer, reason))
         connection.start_request()
--- a/carobmoor/transport/tests/test_framing.py
+++ b/carobmoor/transport/tests/test_framing.py
@@ -225,7 +225,7 @@
 
 # Guards against losing an answer because a late, large answer to another
 # request came before it.
-def test_large_answer_to_another_request_is_skipped():
+def test_large_stray_answer_is_skipped():
     """A whole answer of 300 KB to another request is skipped."""
     connection, transport = _connection_with_id()
     connection.data_received(STRAY_HEAD % len(BODY) + BODY)
