Believe a node alone about its record, and no implausible check-in

Found by an odd value at each place: a row or a datagram with the start of a known node and a revision that is too large outdated all that the node itself sent, so that it was never chosen again; a check-in with such a sequence, number of slots or start outdated those of the server; an instance id with a line break or beyond ASCII made each request to the own server unsendable.

A record of a row no longer outdates what its node says, a hello counts only if it comes from the address that it names, round trips measured on another clock are dropped, and implausible check-ins get 400, as unreadable ones do. Bodies of check-ins are limited to 64 KiB.

--- a/carobmoor/mesh/_announcements.py
+++ b/carobmoor/mesh/_announcements.py
@@ -6,18 +6,24 @@
 
 from result import Err, Result
 
+from carobmoor.mesh._datagrams import is_plausible_id, is_plausible_start
 from carobmoor.mesh._gossip import GossipProtocol
 from carobmoor.mesh._messages import Announcement, ServerStatus
 from carobmoor.mesh._own_row import OwnRow
 from carobmoor.mesh._state import MeshNode
 from carobmoor.telemetry import logger_for
-from carobmoor.transport import IncomingRequest
+from carobmoor.transport import IncomingRequest, ServingLimits
 
 _OK: Final = 200
 _BAD_REQUEST: Final = 400
 _UNAVAILABLE: Final = 503
 # How long an acknowledgement waits for the write to the store.
 _SAVE_TIMEOUT_S: Final = 0.5
+# Larger numbers are of another writer; they would outdate all that follow.
+_MAX_SEQUENCE: Final = 2_147_483_647
+_MAX_SLOTS: Final = 1_000_000
+_MAX_BODY_BYTES: Final = 65_536
+ANNOUNCEMENT_LIMITS: Final = ServingLimits(max_body_bytes=_MAX_BODY_BYTES)
 _JSON: Final = ((b'content-type', b'application/json'),)
 _log = logger_for('announce')
 
@@ -55,6 +61,17 @@
             request.respond(_BAD_REQUEST)
             return
         announcement = decoded.ok_value
+        if not _is_plausible(announcement):
+            _log.warning(
+                'Announcement implausible, rejected.',
+                peer=request.peer,
+                instance=announcement.instance_id,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
+                slots=announcement.slots,
+            )
+            request.respond(_BAD_REQUEST)
+            return
         if self._node.backend.apply_announcement(announcement):
             await self._apply_change(announcement)
         request.respond(_OK, _JSON, b'{}')
@@ -92,6 +109,15 @@
             )
 
 
+def _is_plausible(announcement: Announcement) -> bool:
+    return (
+        is_plausible_id(announcement.instance_id)
+        and is_plausible_start(announcement.born_ms)
+        and announcement.sequence <= _MAX_SEQUENCE
+        and announcement.slots <= _MAX_SLOTS
+    )
+
+
 async def serve_readiness(node: MeshNode, request: IncomingRequest) -> None:
     """Answer 200 if the platform should send callers here, else 503."""
     request.respond(_OK if node.is_ready else _UNAVAILABLE)
--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -12,6 +12,7 @@
 
 from carobmoor.admission import stop_times
 from carobmoor.mesh._announcements import (
+    ANNOUNCEMENT_LIMITS,
     AnnouncementHandler,
     DecodeAnnouncement,
     serve_readiness,
@@ -21,7 +22,7 @@
 from carobmoor.mesh._gossip import GossipProtocol
 from carobmoor.mesh._messages import MeshSettings
 from carobmoor.mesh._own_row import OwnRow
-from carobmoor.mesh._peer_requests import serve_peer
+from carobmoor.mesh._peer_requests import node_limits, serve_peer
 from carobmoor.mesh._reload import follow_settings
 from carobmoor.mesh._request_log import serve_metrics
 from carobmoor.mesh._route_follower import RouteFollower, RouteSource
@@ -69,7 +70,7 @@
         )
         self.nodes = Listener(
             functools.partial(serve_peer, node),
-            ServingLimits,
+            functools.partial(node_limits, node),
         )
         self.readiness = Listener(
             functools.partial(serve_readiness, node),
@@ -83,7 +84,7 @@
             AnnouncementHandler(
                 node, self.gossip, self.own_row, decode_announcement
             ).serve,
-            ServingLimits,
+            lambda: ANNOUNCEMENT_LIMITS,
         )
 
 
--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -23,6 +23,8 @@
 _US_PER_S: Final = 1_000_000
 _MS_PER_S: Final = 1000
 _ROUND_TRIP_SMOOTHING: Final = 0.2
+# A longer measurement, or a negative one, is of another clock.
+_MAX_ROUND_TRIP_MS: Final = 60_000
 # A node sends its load to each node of its region at intervals, and this many
 # datagrams per second at most, so that its traffic is independent of the size.
 _MIN_LOAD_INTERVAL_S: Final = 0.25
@@ -80,7 +82,8 @@
         """Handle one datagram; a malformed one is dropped."""
         datagram = decode_datagram(content)
         if isinstance(datagram, Hello):
-            self._handle_hello(datagram)
+            if datagram.record.ip == sender[0]:
+                self._handle_hello(datagram)
         elif isinstance(datagram, Load):
             self._handle_load(datagram, sender[0])
         elif isinstance(datagram, Query):
@@ -121,7 +124,11 @@
         if record.address == node.settings.node_address:
             return None
         known = node.peers.find_by_ip(record.ip)
-        if known is not None and is_outdated(record, known.record):
+        if (
+            known is not None
+            and known.last_update_s
+            and is_outdated(record, known.record)
+        ):
             return known
         if known is None or known.record != record:
             _log.info(
@@ -196,8 +203,8 @@
             return
         now_s = time.monotonic()
         self._mark_alive(peer, now_s, hello.version)
-        if hello.echoed_us:
-            measured_ms = (now_s - hello.echoed_us / _US_PER_S) * _MS_PER_S
+        measured_ms = (now_s - hello.echoed_us / _US_PER_S) * _MS_PER_S
+        if 0 <= measured_ms <= _MAX_ROUND_TRIP_MS:
             gap_ms = measured_ms - peer.round_trip_ms
             peer.round_trip_ms += _ROUND_TRIP_SMOOTHING * gap_ms
         if hello.wants_reply:
