Read the other rows of a page beside an odd one

A row of the store's answer with a field of another type, base64 that can't be read, a value nested too deeply or half a surrogate made the whole page unreadable or raised an error in the task that had asked; a page without rows that announced more raised IndexError.

Rows are decoded one by one, an unreadable one is logged and skipped, and one whose content alone is unreadable keeps its key and version, so that it can be replaced.

--- a/carobmoor/platform/_store.py
+++ b/carobmoor/platform/_store.py
@@ -3,7 +3,7 @@
 import base64
 import random
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from carobmoor.decoding import Count, decoder_of, repair_json
 from carobmoor.store import (
     Breaker,
     Row,
@@ -18,6 +19,7 @@
     StoreFailure,
     StoreFault,
 )
+from carobmoor.telemetry import logger_for
 from carobmoor.transport import (
     Address,
     CallFailure,
@@ -53,21 +55,28 @@
 
 class _WireRow(msgspec.Struct, rename='camel'):
     key: str
-    row_version: int = 0
+    row_version: Count = 0
     # Base64.
     content: str = msgspec.field(name='value', default='')
     deleted: bool = False
 
 
 class _WireRowPage(msgspec.Struct, rename='camel'):
-    rows: Sequence[_WireRow]
+    # Decoded one by one, so that an odd row doesn't hide the others.
+    rows: Sequence[msgspec.Raw]
     # Newest version in the whole store.
-    row_version: int
+    row_version: Count
     has_more: bool = False
 
 
 class _WireWriteResult(msgspec.Struct, rename='camel'):
-    row_version: int
+    row_version: Count
+
+
+_row_decode: Final = decoder_of(_WireRow)
+_page_decode: Final = decoder_of(_WireRowPage)
+_result_decode: Final = decoder_of(_WireWriteResult)
+_log = logger_for('store')
 
 
 class StoreClient:
@@ -142,6 +151,8 @@
             rows.extend(page.rows)
             if not page.has_more:
                 return Ok(page._replace(rows=rows))
+            if not page.rows:
+                return Err(self._make_failure('decode', 'page without a row'))
             start = f'{page.rows[-1].key}\0'
 
     async def watch_rows(
@@ -159,7 +170,7 @@
         query = {'table': table, 'after': after_version, 'waitMs': wait_ms}
         request = _get_request('rows-feed', query)
         response = await self._call(request, wait_s + _FEED_TIMEOUT_MARGIN_S)
-        return self._decode(response, _WireRowPage).map(_to_changes)
+        return self._decode(response, _decode_page).map(_to_changes)
 
     async def put_row(
         self,
@@ -229,7 +240,7 @@
         if end:
             query['target'] = end
         response = await self._call(_get_request('rows-get', query))
-        return self._decode(response, _WireRowPage).map(_to_changes)
+        return self._decode(response, _decode_page).map(_to_changes)
 
     async def _write_rows(
         self,
@@ -242,18 +253,18 @@
         )
         request = OutgoingRequest('POST', '/v1/rows-tx', _JSON_HEADERS, body)
         response = await self._call(request)
-        written = self._decode(response, _WireWriteResult)
+        written = self._decode(response, _result_decode)
         return written.map(lambda answer: str(answer.row_version))
 
     def _decode(
         self,
         response: Result[JsonAnswer, StoreFailure],
-        wire_type: Any,
+        decode: Callable[[bytes], Any],
     ) -> Result[Any, StoreFailure]:
         if isinstance(response, Err):
             return response
         try:
-            return Ok(response.ok_value.decode(wire_type))
+            return Ok(decode(response.ok_value.body))
         except msgspec.DecodeError as error:
             return Err(self._make_failure('decode', str(error)))
 
@@ -314,14 +325,45 @@
     return quote(f'{bucket}.{key}', safe='')
 
 
+def _decode_page(body: bytes) -> _WireRowPage:
+    """Decode a page, without the values in it that can't be decoded."""
+    page: _WireRowPage
+    try:
+        page = _page_decode(body)
+    except msgspec.DecodeError:
+        page = _page_decode(repair_json(body))
+    return page
+
+
 def _to_changes(page: _WireRowPage) -> RowChanges:
-    kept = [_to_row(row) for row in page.rows if not row.deleted]
-    deleted = [row.key for row in page.rows if row.deleted]
+    rows = [row for row in map(_decode_row, page.rows) if row is not None]
+    kept = [_to_row(row) for row in rows if not row.deleted]
+    deleted = [row.key for row in rows if row.deleted]
     return RowChanges(kept, deleted, page.row_version, page.has_more)
 
 
+def _decode_row(encoded: msgspec.Raw) -> _WireRow | None:
+    try:
+        row: _WireRow = _row_decode(bytes(encoded))
+    except msgspec.DecodeError as error:
+        _log.warning('Row unreadable, skipped.', reason=str(error))
+        return None
+    return row
+
+
 def _to_row(row: _WireRow) -> Row:
-    return Row(row.key, base64.b64decode(row.content), str(row.row_version))
+    """Convert a row; content that is no base64 counts as empty.
+
+    Its key and version are known, so that it can be replaced.
+    """
+    try:
+        content = base64.b64decode(row.content, validate=True)
+    except ValueError as error:
+        _log.warning(
+            'Content of a row unreadable.', row=row.key, reason=str(error)
+        )
+        content = b''
+    return Row(row.key, content, str(row.row_version))
 
 
 def _to_store_failure(failure: CallFailure) -> StoreFailure:
