Let the owner accept what the callers' limits allow

Found on the way of an upload on to another node: the listener for other nodes had fixed limits of 32768 and 2^30 bytes. Where the manifest allows more, a request that its node accepted got 431 from the owner's.

Its limits now follow the manifest, with room for the headers that a node adds.

--- a/carobmoor/mesh/_peer_requests.py
+++ b/carobmoor/mesh/_peer_requests.py
@@ -25,6 +25,7 @@
     AnswerIncomplete,
     CallerLost,
     IncomingRequest,
+    ServingLimits,
     get_header,
 )
 
@@ -36,6 +37,26 @@
 _NOT_FOUND: Final = 404
 _OUTCOME: Final = OUTCOME_HEADER.encode()
 _LENGTH: Final = b'content-length'
+# Headers that a node adds to a request for another node.
+_MAX_ADDED_HEAD_BYTES: Final = 16_384
+
+
+def node_limits(node: MeshNode) -> ServingLimits:
+    """Return the limits for requests of other nodes.
+
+    What a node accepts from its callers, the owner accepts from the node.
+    """
+    limits = ServingLimits()
+    if node.table is None:
+        return limits
+    callers = node.table.limits
+    return limits._replace(
+        max_head_bytes=max(
+            limits.max_head_bytes,
+            callers.max_header_bytes + _MAX_ADDED_HEAD_BYTES,
+        ),
+        max_body_bytes=max(limits.max_body_bytes, callers.max_body_bytes),
+    )
 
 
 async def serve_peer(node: MeshNode, request: IncomingRequest) -> None:
--- a/carobmoor/mesh/tests/scripted.py
+++ b/carobmoor/mesh/tests/scripted.py
@@ -45,7 +45,9 @@
         # Whether every answer says that the server leaves.
         self.is_leaving = False
         self._serve = serve
-        self._listener = Listener(self._handle, ServingLimits)
+        self._listener = Listener(
+            self._handle, lambda: ServingLimits(max_head_bytes=131_072)
+        )
 
     async def start(self) -> None:
         """Start to listen."""
--- a/carobmoor/mesh/tests/test_forwarding.py
+++ b/carobmoor/mesh/tests/test_forwarding.py
@@ -7,8 +7,13 @@
 
 from nose2.tools import params
 
+from carobmoor.mesh import ServerStatus
 from carobmoor.mesh.tests.fixtures import (
+    DEFAULT_TABLE,
+    HOST,
+    LIMITS,
     Mesh,
+    NodeWithServer,
     make_route,
     make_table,
     ready_announcement,
@@ -323,3 +328,59 @@
 
 def _backends(mesh: Mesh) -> list[ScriptedServer]:
     return [pair.backend for pair in mesh.nodes]
+
+
+# Guards against an upload that reaches its node and is refused by the owner's,
+# or breaks off on the way, because of the sizes of its chunks or its head.
+@params((1, 0), (4096, 0), (60_000, 0), (4096, 40_000))
+def test_upload_in_chunks_reaches_other_node(chunk_bytes, head_bytes):
+    """An upload in chunks, with a large head, arrives whole at another node."""
+    body = bytes(range(256)) * 600
+
+    async def upload(mesh: Mesh) -> None:
+        # The server beside the first node leaves, so that the second runs it.
+        first, second = mesh.nodes
+        limits = LIMITS._replace(max_header_bytes=65_536)
+        mesh.publish(DEFAULT_TABLE._replace(version=2, limits=limits))
+        await mesh.wait_until(
+            lambda: all(one.node.version == 2 for one in mesh.nodes)
+        )
+        last = first.node.backend.last_announcement
+        first.announce(
+            last._replace(
+                status=ServerStatus.LEAVING, sequence=last.sequence + 1
+            )
+        )
+        answer = await _upload(first, body, chunk_bytes, head_bytes)
+        assert answer.startswith(b'HTTP/1.1 200 '), answer
+        assert second.backend.bodies == [body]
+
+    run(upload, None, None)
+
+
+def _in_chunks(body: bytes, chunk_bytes: int) -> bytes:
+    starts = range(0, len(body), chunk_bytes)
+    parts = [body[start : start + chunk_bytes] for start in starts]
+    chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in (*parts, b'')]
+    return b''.join(chunks)
+
+
+async def _upload(
+    pair: NodeWithServer, body: bytes, chunk_bytes: int, head_bytes: int
+) -> bytes:
+    """Send an upload in one write and return the start of its answer."""
+    address = pair.node.settings.caller_address
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(
+        b'POST /upload/1 HTTP/1.1\r\nhost: %b\r\nx-id: upload-1\r\n'
+        b'x-deadline-ms: 1500\r\nx-large: %b\r\n'
+        b'transfer-encoding: chunked\r\n\r\n%b'
+        % (
+            HOST.encode(),
+            b'a' * head_bytes,
+            _in_chunks(body, chunk_bytes),
+        )
+    )
+    answer = await reader.read(100)
+    writer.close()
+    return answer
