Limit the framing of bodies at the node of the product's own interface

There it refused nothing it should not, since it was only kept within heads: chunk sizes, extensions and trailers without end were received as long as they came, and trailers were added to the headers of the running request. A refusal reset the connection wherever an earlier request was in progress, so that this one lost its answer, or the refused one its status.

The count is now the one of the listeners of the mesh node (FramingMeter); trailers are counted and dropped. A refusal waits for the earlier answers; it answers a request that runs, as an unknown outcome, unless its answer has begun, and it adds nothing behind an answer that was sent.

Tests, before: the four cases of test_too_much_framing_is_refused and test_refusal_waits_for_earlier_answer fail; test_chunks_of_any_size_are_accepted held. After: none fails.

--- a/carobmoor/node/_server.py
+++ b/carobmoor/node/_server.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import ssl
+from collections import deque
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -14,11 +15,19 @@
 from carobmoor.outcomes import (
     OUTCOME_HEADER,
     Code,
+    Failure,
     NotRun,
+    Unknown,
     encode_failure,
     http_status_of,
+    outcome_name,
+)
+from carobmoor.transport import (
+    SLICE_BYTES,
+    Address,
+    FramingMeter,
+    slices,
 )
-from carobmoor.transport import Address
 
 _KEEP_ALIVE_S: Final = 75
 _REFUSAL_LINGER_S: Final = 1
@@ -35,53 +44,87 @@
 
 
 class HeaderLimitProtocol(HttpToolsProtocol):
-    """Refuses requests with more header bytes than allowed."""
+    """Refuses requests with more header bytes or framing than allowed."""
 
     def __init__(self, max_header_bytes: int, **options: Any) -> None:
         """Start before the first byte of a head."""
         super().__init__(**options)
         self.max_header_bytes = max_header_bytes
+        # Of the target and the headers received so far, then of the trailers.
         self.head_bytes = 0
         self.in_head = True
+        # A request has begun, and its body has not been received to its end.
+        self.is_receiving = False
         self.is_refused = False
+        self._framing = FramingMeter()
+        # Requests whose answers have not been sent.
+        self._unanswered = 0
+        # The answer to a refused request, sent after all earlier ones.
+        self._refusal = b''
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes and refuse a head that exceeds the limit."""
-        if self.is_refused:
-            return
-        if self.in_head:
-            self.head_bytes += len(received)
-        super().data_received(received)
-        if self.in_head and self.head_bytes > self.max_header_bytes:
-            self._refuse(
-                Code.HEADERS_TOO_LARGE,
-                f'more than {self.max_header_bytes} header bytes',
-            )
+        for piece in slices(received, _next_slice_bytes):
+            if self.is_refused or self.transport.is_closing():
+                return
+            super().data_received(bytes(piece))
+            self._framing.add(len(piece))
+            self._check_head()
 
     def on_message_begin(self) -> None:
         """Expose the transport so that the application notices slow readers."""
+        self._framing.restart()
+        self.is_receiving = True
         super().on_message_begin()
         scope: Any = self.scope
         scope['extensions'] = {TRANSPORT_EXTENSION: self.transport}
 
+    def on_url(self, url: bytes) -> None:
+        """Count a part of the request target."""
+        self._framing.restart()
+        self.head_bytes += len(url)
+        self._check_head()
+        super().on_url(url)
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Count a header; trailers are dropped."""
+        self._framing.restart()
+        self.head_bytes += len(name) + len(content)
+        self._check_head()
+        if self.in_head:
+            super().on_header(name, content)
+
     def on_headers_complete(self) -> None:
-        """Refuse a complete head over the limit before the application runs."""
+        """Start the request, unless its head was refused."""
+        self._framing.restart()
         self.in_head = False
-        if _count_head_bytes(self.headers) > self.max_header_bytes:
-            self._refuse(
-                Code.HEADERS_TOO_LARGE,
-                f'more than {self.max_header_bytes} header bytes',
-            )
+        self.head_bytes = 0
+        if self.is_refused:
             return
+        self._unanswered += 1
         super().on_headers_complete()
 
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of a body, unless its request was refused."""
+        self._framing.restart()
+        if not self.is_refused:
+            super().on_body(body)
+
     def on_message_complete(self) -> None:
-        """Reset the byte count for the next head."""
+        """Expect the next head."""
+        self._framing.restart()
         self.in_head = True
+        self.is_receiving = False
         self.head_bytes = 0
-        if self.cycle is not None:
+        if not self.is_refused:
             super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Send the refusal that waited for this answer, if there is one."""
+        self._unanswered -= 1
+        super().on_response_complete()
+        self._send_refusal()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse a request that is not valid HTTP."""
         self._refuse(Code.BAD_REQUEST, 'the request is not valid HTTP')
@@ -89,7 +132,7 @@
     @property
     def is_unused(self) -> bool:
         """Whether no request has begun on this connection yet."""
-        return self.cycle is None and not self.head_bytes
+        return self.cycle is None and not self.is_receiving
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress on it.
@@ -99,22 +142,64 @@
         408, which callers may receive without having sent a request.
         """
         has_ended = self.cycle is None or self.cycle.response_complete
-        if has_ended and not self.head_bytes:
+        if has_ended and not self.is_receiving:
             detail = 'the node is stopping'
             self._refuse(Code.LEAVING, detail, _REQUEST_TIMEOUT_STATUS)
 
+    def _check_head(self) -> None:
+        limit_bytes = self.max_header_bytes
+        if self.head_bytes > limit_bytes or self._framing.exceeds(limit_bytes):
+            self._refuse(
+                Code.HEADERS_TOO_LARGE, f'more than {limit_bytes} header bytes'
+            )
+
     def _refuse(self, code: Code, detail: str, status: int = 0) -> None:
+        """Refuse what is being received; the answers before it go first."""
         if self.is_refused or self.transport.is_closing():
             return
         self.is_refused = True
-        if self.cycle is not None and not self.cycle.response_complete:
-            # The refusal would be read as the answer to the running request.
+        has_started = self.is_receiving and not self.in_head
+        server_name = ':'.join(str(part) for part in self.server or ())
+        failure: Failure = NotRun(code, 'read_request', server_name, detail)
+        if has_started:
+            # What came of its body may have reached a backend server.
+            failure = Unknown('read_request', server_name, detail, code)
+        status = status or http_status_of(failure)
+        self._refusal = _encode_refusal(failure, status)
+        if has_started and not self._end_cycle():
+            return
+        self._send_refusal()
+
+    def _end_cycle(self) -> bool:
+        """End the request whose body is received; return if it needs an answer.
+
+        The application finds its caller gone, and what it sends is dropped.
+        """
+        cycle = self.cycle
+        if cycle.response_complete:
+            self._refusal = b''
+        elif cycle.response_started:
+            # The rest of its answer would be read behind the refusal.
             self.transport.abort()
+            return False
+        else:
+            self.pipeline = deque(
+                queued for queued in self.pipeline if queued[0] is not cycle
+            )
+            cycle.disconnected = True
+            cycle.message_event.set()
+            self._unanswered -= 1
+        return True
+
+    def _send_refusal(self) -> None:
+        if not self.is_refused or self._unanswered:
             return
-        server_name = ':'.join(str(part) for part in self.server or ())
-        refusal = NotRun(code, 'read_request', server_name, detail)
-        status = status or http_status_of(refusal)
-        self.transport.write(_encode_refusal(refusal, status))
+        if self.transport.is_closing():
+            return
+        self.flow.resume_reading()
+        if self._refusal:
+            self.transport.write(self._refusal)
+            self._refusal = b''
         # Closing with unread bytes would reset the connection, and the
         # refusal could be lost.
         if self.transport.can_write_eof():
@@ -158,16 +243,16 @@
     return NodeServer(config)
 
 
-def _count_head_bytes(headers: list[tuple[bytes, bytes]]) -> int:
-    return sum(len(name) + len(content) for name, content in headers)
+def _next_slice_bytes() -> int:
+    return SLICE_BYTES
 
 
-def _encode_refusal(refusal: NotRun, status: int) -> bytes:
+def _encode_refusal(refusal: Failure, status: int) -> bytes:
     body = encode_failure(refusal, '')
     head = (
         f'HTTP/1.1 {status} Refused\r\n'
         'content-type: application/json\r\n'
-        f'{OUTCOME_HEADER}: not_run\r\n'
+        f'{OUTCOME_HEADER}: {outcome_name(refusal)}\r\n'
         f'content-length: {len(body)}\r\n'
         'connection: close\r\n\r\n'
     )
--- a/carobmoor/outcomes/__init__.py
+++ b/carobmoor/outcomes/__init__.py
@@ -16,6 +16,7 @@
     FailureDocument,
     decode_failure,
     encode_failure,
+    outcome_name,
 )
 
 __all__ = [
@@ -28,4 +29,5 @@
     'decode_failure',
     'encode_failure',
     'http_status_of',
+    'outcome_name',
 ]
--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -8,6 +8,7 @@
 from carobmoor.transport._connection import Connection
 from carobmoor.transport._end_to_end import end_to_end_headers
 from carobmoor.transport._exchange import Answer, AnswerIncomplete, send
+from carobmoor.transport._framing import SLICE_BYTES, FramingMeter, slices
 from carobmoor.transport._incoming import (
     CallerLost,
     IncomingRequest,
@@ -30,6 +31,9 @@
 from carobmoor.transport._steps import CallFailure, Step, proves_not_run
 
 __all__ = [
+    'SLICE_BYTES',
+    'FramingMeter',
+    'slices',
     'Address',
     'Answer',
     'AnswerHead',
--- a/tests/test_bad_requests.py
+++ b/tests/test_bad_requests.py
@@ -98,3 +98,64 @@
         '/_backend/starts',
     )
     return len(counters['starts'])
+
+
+CHUNKED = HEAD + SERVICE + b'transfer-encoding: chunked\r\n\r\n'
+KEPT = b'GET /none HTTP/1.1\r\nhost: any\r\n' + SERVICE + b'\r\n'
+FIELD = b'name: 0123456789\r\n'
+
+
+# Guards against an upload that is refused because of its chunks or the reads
+# that they come in.
+@params((1, b''), (700, b';ext=%b' % (b'5' * 64)), (16_384, b''))
+def test_chunks_of_any_size_are_accepted(chunk_bytes, extension):
+    """A body in chunks is served in one write and behind another request."""
+    asynchronous(_upload_in_chunks)(chunk_bytes, extension)
+
+
+async def _upload_in_chunks(chunk_bytes: int, extension: bytes) -> None:
+    whole = 60_000 // chunk_bytes
+    chunk = b'%x%b\r\n%b\r\n' % (chunk_bytes, extension, bytes(chunk_bytes))
+    upload = CHUNKED + chunk * whole + b'0\r\n\r\n'
+    async with run_deployment(PLACE) as deployment:
+        for before in (b'', KEPT):
+            answer = await send_raw(deployment, before + upload)
+            served = answer.count(b'HTTP/1.1 200')
+            assert served == (2 if before else 1), answer
+
+
+# Guards against framing without end that a node receives as long as it comes,
+# and keeps where it is trailers; and against a refusal that is lost in a reset.
+@params(
+    b'3;%b\r\nabc\r\n' % (b'x' * 80_000),
+    b'0' * 80_000 + b'3\r\nabc\r\n',
+    b'0\r\n' + FIELD * 6000,
+    b'0\r\nname: ' + b'a' * 80_000,
+)
+def test_too_much_framing_is_refused(framing):
+    """Chunk sizes, extensions and trailers over the limit get a status."""
+    asynchronous(_send_framing)(framing)
+
+
+async def _send_framing(framing: bytes) -> None:
+    async with run_deployment(PLACE) as deployment:
+        for before in (b'', KEPT):
+            sent = before + CHUNKED + b'3\r\nabc\r\n' + framing
+            answer = await send_raw(deployment, sent)
+            last = answer[answer.rindex(b'HTTP/1.1') :]
+            assert last.startswith(b'HTTP/1.1 431'), answer
+            assert json.loads(last.partition(b'\r\n\r\n')[2])['code']
+            assert answer.count(b'HTTP/1.1') == (2 if before else 1), answer
+        assert await count_starts(deployment) == 1
+
+
+# Guards against the loss of an answer whose connection is reset because the
+# request behind it is refused.
+@asynchronous
+async def test_refusal_waits_for_earlier_answer():
+    """A head that is too large is refused after the answer before it."""
+    too_large = HEAD + b'x: ' + b'y' * 70_000 + b'\r\n\r\n'
+    async with run_deployment(PLACE) as deployment:
+        answer = await send_raw(deployment, KEPT + too_large)
+    assert answer.startswith(b'HTTP/1.1 200'), answer
+    assert answer.count(b'HTTP/1.1 431') == 1, answer
