Join, follow and clean up beside odd rows at the product's own nodes

The same report on the other kind of node: one seed row without an address ended each try to join and the check of the seeds; an odd row of the configuration ended the task that followed it, and the list of versions; one odd claim of an idempotency key ended the cleaning of all, and a request with that key got no answer of its own; numbers of members, load reports, tickets and grants had no bound.

Odd seeds, versions and claims are logged and skipped, an odd head or manifest is a failed read, so that the version in force stays, and a key whose claim can't be read is an unknown outcome.

Tests: tests/test_odd_entries.py; before, three of its four tests fail or raise UnicodeDecodeError, OverflowError and DecodeError.

--- a/carobmoor/configuration/_store.py
+++ b/carobmoor/configuration/_store.py
@@ -5,35 +5,37 @@
 """
 
 import asyncio
-from collections.abc import Mapping, Sequence
-from typing import Final, NamedTuple
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Final, NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
 
 from carobmoor.configuration._document import Document
 from carobmoor.configuration._pieces import Manifest, digest_of
-from carobmoor.decoding import decode_json
+from carobmoor.decoding import Count, decoder_of
 from carobmoor.store import Row, Store, StoreFailure, StoreFault
+from carobmoor.telemetry import logger_for
 
 _TABLE: Final = 'configuration'
 _HEAD_KEY: Final = 'head'
 _BUCKET: Final = 'configuration'
 _MAX_CONCURRENT_WRITES: Final = 8
 EMPTY_MANIFEST: Final = Manifest('', {})
+_log = logger_for('configuration')
 
 
 class Head(NamedTuple):
     """The head row: the accepted version and who submitted it."""
 
-    version: int
+    version: Count
     # The digest of the whole document.
     digest: str
     submission_id: str
     operator: str
     reason: str
     # Unix time at the node that received the submission; informational only.
-    submitted_s: int = 0
+    submitted_s: Count = 0
 
 
 class AcceptedVersion(NamedTuple):
@@ -61,7 +63,7 @@
     The store may return the row as it was before the last write.
     """
     read = await store.get_row(_TABLE, _HEAD_KEY)
-    return read.map(_head_row)
+    return read.and_then(_head_row)
 
 
 async def write_head(
@@ -94,7 +96,7 @@
 ) -> Result[Head | None, StoreFailure]:
     """Read the row of a version in the history; `None` if there is none."""
     read = await store.get_row(_TABLE, _history_key(version))
-    return read.map(lambda row: _head_row(row).head)
+    return read.and_then(_head_row).map(lambda row: row.head)
 
 
 async def read_history(
@@ -111,7 +113,8 @@
     read = await read_head(store)
     if isinstance(read, Err):
         return read
-    heads = [_decode_head(row) for row in listed.ok_value]
+    decoded = [_decode_head(row.content) for row in listed.ok_value]
+    heads = [one.ok_value for one in decoded if isinstance(one, Ok)]
     head = read.ok_value.head
     if head is not None and head not in heads:
         heads.append(head)
@@ -124,7 +127,7 @@
 ) -> Result[Document, StoreFailure]:
     """Read the whole document of a version."""
     fetched = await store.get_object(_BUCKET, head.digest)
-    return fetched.map(decode_json)
+    return fetched.and_then(_decode_document)
 
 
 async def load_manifest(
@@ -136,9 +139,7 @@
         return Ok(EMPTY_MANIFEST)
     key = _manifest_key(head.digest)
     fetched = await store.get_object(_BUCKET, key)
-    return fetched.map(
-        lambda body: decode_json(body, Manifest),
-    )
+    return fetched.and_then(_decode_manifest)
 
 
 async def load_piece(store: Store, digest: str) -> str | None:
@@ -174,14 +175,34 @@
     return failed[0] if failed else Ok(None)
 
 
-def _head_row(row: Row | None) -> HeadRow:
+def _head_row(row: Row | None) -> Result[HeadRow, StoreFailure]:
     if row is None:
-        return HeadRow(None, '')
-    return HeadRow(_decode_head(row), row.etag)
+        return Ok(HeadRow(None, ''))
+    etag = row.etag
+    return _decode_head(row.content).map(lambda head: HeadRow(head, etag))
+
+
+def _reader_of(expected_type: Any) -> Callable[[bytes], Result[Any, Any]]:
+    """Return a function that decodes a row or an object, or fails.
+
+    Another writer may have left it.
+    """
+    decode = decoder_of(expected_type)
+
+    def read(content: bytes) -> Result[Any, StoreFailure]:
+        try:
+            return Ok(decode(content))
+        except msgspec.DecodeError as error:
+            _log.warning('Content unreadable.', reason=str(error))
+            fault = StoreFault.UNAVAILABLE
+            return Err(StoreFailure(fault, 'decode', _TABLE, str(error)))
+
+    return read
 
 
-def _decode_head(row: Row) -> Head:
-    return decode_json(row.content, Head)
+_decode_head = _reader_of(Head)
+_decode_document = _reader_of(dict[str, Any])
+_decode_manifest = _reader_of(Manifest)
 
 
 def _history_key(version: int) -> str:
--- a/carobmoor/idempotency/_claims.py
+++ b/carobmoor/idempotency/_claims.py
@@ -3,14 +3,17 @@
 import hashlib
 from typing import Final
 
+import msgspec
 from result import Err, Ok, Result
 
 from carobmoor.idempotency._messages import Claim, decode_claim, encode_claim
 from carobmoor.store import Row, Store, StoreFailure, StoreFault
+from carobmoor.telemetry import logger_for
 
 _TABLE: Final = 'idempotency'
 _DIGEST_BYTES: Final = 16
 _MAX_DELETED_ROWS: Final = 20
+_log = logger_for('keys')
 
 
 def row_key_of(caller: str, key: str) -> str:
@@ -78,11 +81,18 @@
     if isinstance(listed, Err):
         return 0
     expired = [
-        row
-        for row in listed.ok_value
-        if decode_claim(row.content).claimed_at_s < claimed_before_s
+        row for row in listed.ok_value if _is_older(row, claimed_before_s)
     ]
     deleted = [
         await release_key(store, row) for row in expired[:_MAX_DELETED_ROWS]
     ]
     return sum(deleted)
+
+
+def _is_older(row: Row, claimed_before_s: float) -> bool:
+    """Return whether a claim may be deleted; an unreadable one may not."""
+    try:
+        return decode_claim(row.content).claimed_at_s < claimed_before_s
+    except msgspec.DecodeError as error:
+        _log.warning('Claim unreadable, kept.', row=row.key, reason=str(error))
+        return False
--- a/carobmoor/idempotency/_messages.py
+++ b/carobmoor/idempotency/_messages.py
@@ -7,6 +7,7 @@
 
 from carobmoor.decoding import decoder_of
 from carobmoor.tickets import Ticket
+from carobmoor.transport import parse_address
 
 
 class StoredResult(NamedTuple):
@@ -47,5 +48,10 @@
 
 
 def decode_claim(content: bytes) -> Claim:
-    """Decode a claim; raises `msgspec.DecodeError`."""
-    return _decode(content)
+    """Decode a claim; raises `msgspec.DecodeError`, also without an owner."""
+    claim: Claim = _decode(content)
+    try:
+        parse_address(claim.ticket.owner)
+    except ValueError as error:
+        raise msgspec.DecodeError(str(error)) from error
+    return claim
--- a/carobmoor/membership/_messages.py
+++ b/carobmoor/membership/_messages.py
@@ -1,12 +1,14 @@
 """The messages that nodes exchange about members."""
 
 import enum
+import re
 from collections.abc import Sequence
 from typing import Annotated, Final, NamedTuple
 
 import msgspec
 
-from carobmoor.decoding import decoder_of
+from carobmoor.decoding import Count, decoder_of
+from carobmoor.transport import Address, parse_address
 
 
 class MemberStatus(enum.IntEnum):
@@ -28,7 +30,8 @@
 _OCTET: Final = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
 _PORT: Final = r'(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]?\d{1,4})'
 # Checked when decoding, so that no other text reaches a socket or the state.
-_ADDRESS: Final = msgspec.Meta(pattern=rf'^({_OCTET}\.){{3}}{_OCTET}:{_PORT}$')
+_ADDRESS_PATTERN: Final = rf'^({_OCTET}\.){{3}}{_OCTET}:{_PORT}$'
+_ADDRESS: Final = msgspec.Meta(pattern=_ADDRESS_PATTERN)
 
 NodeAddress = Annotated[str, _ADDRESS]
 
@@ -42,7 +45,7 @@
     region: str
     availability_zone: str
     # Rises with each start, refutation and announced status of the node.
-    incarnation: int
+    incarnation: Count
     status: MemberStatus
 
     @property
@@ -69,14 +72,14 @@
 
     kind: DatagramKind
     # Matches an answer to its probe; chosen by the prober.
-    probe_id: int
+    probe_id: Count
     # Address of the sender, as `ip:port`.
     sender: NodeAddress
     # The member to probe in an `INDIRECT_PROBE`, or that answered in a relayed
     # `ACK`.
     target: str
     # The configuration version in force at the sender.
-    version: int
+    version: Count
     updates: Sequence[Member] = ()
 
 
@@ -100,6 +103,13 @@
 _datagram_decode: Final = decoder_of(Datagram)
 
 
+def read_address(text: str) -> Address | None:
+    """Parse the address of a node; `None` if it is none."""
+    if not re.fullmatch(_ADDRESS_PATTERN, text):
+        return None
+    return parse_address(text)
+
+
 def decode_members(body: bytes) -> Sequence[Member]:
     """Decode a list of members; raises `msgspec.DecodeError`."""
     return _members_decode(body)
--- a/carobmoor/membership/_seeds.py
+++ b/carobmoor/membership/_seeds.py
@@ -15,12 +15,13 @@
 from result import Err
 
 from carobmoor.membership._gossip import Gossip
-from carobmoor.membership._messages import Member, MemberStatus
+from carobmoor.membership._messages import Member, MemberStatus, read_address
 from carobmoor.membership._rendezvous import is_chosen
 from carobmoor.membership._state import MembershipState
 from carobmoor.membership._sync import request_helpers
 from carobmoor.store import Row, Store, jitter_factor
-from carobmoor.transport import Address, parse_address
+from carobmoor.telemetry import logger_for
+from carobmoor.transport import Address
 
 _TABLE: Final = 'seeds'
 _ROWS_PER_REGION: Final = 3
@@ -29,6 +30,7 @@
 _MAX_JOIN_INTERVAL_S: Final = 10
 _CHECK_INTERVAL_S: Final = 10
 _MAX_HELPERS_TRIED: Final = 2
+_log = logger_for('members')
 
 
 async def join(
@@ -76,8 +78,9 @@
     is_stale = functools.partial(_is_stale, gossip.state)
     await _write_own_row(gossip.state, store, rows, is_stale)
     for row in rows:
-        if _is_out_of_contact(gossip.state, row):
-            await gossip.exchange(_address_of(row), time.monotonic())
+        address = _address_of(row)
+        if address is not None and _is_out_of_contact(gossip.state, row):
+            await gossip.exchange(address, time.monotonic())
 
 
 async def _try_to_join(
@@ -96,7 +99,7 @@
         await _write_own_row(gossip.state, store, rows, lambda _: False)
         return
     has_joined = await _join_through_any(
-        gossip, [_address_of(row) for row in rows], rng
+        gossip, list(filter(None, map(_address_of, rows))), rng
     )
     is_stale = functools.partial(_is_stale, gossip.state)
     may_replace = is_stale if has_joined else lambda _: True
@@ -164,14 +167,21 @@
 
 
 def _is_stale(state: MembershipState, row: Row) -> bool:
-    member = state.members.get(row.content.decode())
+    member = state.members.get(_text_of(row))
     return member is None or member.status is not MemberStatus.ALIVE
 
 
 def _is_out_of_contact(state: MembershipState, row: Row) -> bool:
-    member: Member | None = state.members.get(row.content.decode())
+    member: Member | None = state.members.get(_text_of(row))
     return member is None or not state.is_reachable(member)
 
 
-def _address_of(row: Row) -> Address:
-    return parse_address(row.content.decode())
+def _address_of(row: Row) -> Address | None:
+    address = read_address(_text_of(row))
+    if address is None:
+        _log.warning('Seed row holds no address, skipped.', row=row.key)
+    return address
+
+
+def _text_of(row: Row) -> str:
+    return row.content.decode(errors='replace')
--- a/carobmoor/membership/_sync.py
+++ b/carobmoor/membership/_sync.py
@@ -15,6 +15,7 @@
     MemberStatus,
     SyncAnswer,
     decode_members,
+    read_address,
 )
 from carobmoor.membership._signing import sign
 from carobmoor.membership._state import MembershipState
@@ -22,7 +23,6 @@
     Address,
     ConnectionPool,
     OutgoingRequest,
-    parse_address,
     request_json,
 )
 
@@ -82,7 +82,8 @@
         addresses = decode_json(response_body, list[str])
     except msgspec.DecodeError:
         return None
-    return [parse_address(each) for each in addresses]
+    read = [read_address(each) for each in addresses]
+    return [each for each in read if each is not None]
 
 
 def answer_helpers(
--- a/carobmoor/node/_idempotency_keys.py
+++ b/carobmoor/node/_idempotency_keys.py
@@ -4,8 +4,9 @@
 import uuid
 from typing import Final, NamedTuple
 
+import msgspec
 import xxhash
-from result import Err, Result
+from result import Err, Ok, Result
 
 from carobmoor.client import REQUEST_ID_HEADER, Call
 from carobmoor.idempotency import (
@@ -128,7 +129,11 @@
             )
         )
     row = claimed.ok_value
-    return claimed.map(lambda _: ClaimedRow(row, decode_claim(row.content)))
+    try:
+        return Ok(ClaimedRow(row, decode_claim(row.content)))
+    except msgspec.DecodeError as error:
+        # Another writer's: whether the request of this key ran is not known.
+        return Err(Unknown(_STEP, row.key, f'claim unreadable: {error}'))
 
 
 async def _send_claimed(
--- a/carobmoor/routing/_messages.py
+++ b/carobmoor/routing/_messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from carobmoor.decoding import decoder_of
+from carobmoor.decoding import Count, decoder_of
 from carobmoor.transport import Address
 
 REPORT_HEADER: Final = b'x-carobmoor-report'
@@ -16,15 +16,15 @@
 class LoadReport(NamedTuple):
     """The load that an owner reports with every response."""
 
-    slots: int
-    in_flight: int
-    queued: int
-    service_time_us: int
+    slots: Count
+    in_flight: Count
+    queued: Count
+    service_time_us: Count
     is_leaving: bool
     # The share of recent requests that succeeded at the backend server.
-    success_permille: int = _PERMILLE
+    success_permille: Count = _PERMILLE
     # Time since the backend server last ended a request.
-    outcome_age_ms: int = 0
+    outcome_age_ms: Count = 0
 
     @property
     def success_rate(self) -> float:
--- a/carobmoor/tickets/_messages.py
+++ b/carobmoor/tickets/_messages.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from carobmoor.decoding import decoder_of
+from carobmoor.decoding import Count, decoder_of
+from carobmoor.transport import parse_address
 
 TICKET_HEADER: Final = b'x-carobmoor-ticket'
 GRANT_HEADER: Final = b'x-carobmoor-ticket-grant'
@@ -25,9 +26,9 @@
     # Random for each start of the owner, and unguessable.
     incarnation: str
     # Counted by the owner on its monotonic clock.
-    epoch: int
+    epoch: Count
     # Incremented each time the owner reports that the request did not run.
-    attempt: int
+    attempt: Count
     mac: str
 
 
@@ -36,9 +37,9 @@
 
     owner: str
     incarnation: str
-    epoch: int
+    epoch: Count
     # Time for which the owner will still accept tickets of this epoch.
-    lifetime_ms: int
+    lifetime_ms: Count
     # Derived from the secret of the owner, its incarnation and the epoch.
     key: str
 
@@ -110,6 +111,9 @@
 def decode_grant(content: str | bytes) -> TicketGrant | None:
     """Decode a grant; return `None` if it is empty or malformed."""
     try:
-        return _grant_decode(content)
-    except msgspec.DecodeError:
+        grant: TicketGrant = _grant_decode(content)
+        parse_address(grant.owner)
+    except ValueError:
+        # `DecodeError` is one too.
         return None
+    return grant
