Let the soak leave odd rows and send odd check-ins and datagrams

They stay in the store, so that each later start of a node, or of the fleet, meets them. The values are those of the unit tests, at each place of a record, a check-in or a hello.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,6 +10,7 @@
 from carobmoor.history import EventKind
 from proofs._relay import Mode
 from soak._fault import Fault, Injector, crash_server
+from soak._odd_entries import ODD_INJECTORS
 from soak._report_faults import REPORT_INJECTORS
 from soak._stage import Place, SoakDeployment
 
@@ -55,7 +56,7 @@
     """Wait until a fault is due, inject it, and mend it after its time."""
     await asyncio.sleep(fault.at_s)
     place = deployment.places[fault.number]
-    injectors = _INJECTORS | REPORT_INJECTORS
+    injectors = _INJECTORS | REPORT_INJECTORS | ODD_INJECTORS
     await injectors[fault.kind](deployment, place, fault)
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -14,6 +14,7 @@
 from soak._callers import REQUEST_KINDS, RequestKind, call, call_until_cancelled
 from soak._fault import Fault
 from soak._faults import draw_faults, inject_fault
+from soak._odd_entries import draw_odd_entries
 from soak._pipelining import pipeline_until_cancelled
 from soak._report_faults import draw_reports
 from soak._rules import check_history
@@ -39,10 +40,11 @@
 
 
 def draw_all_faults(seed: int, span_s: float, nodes: int) -> Sequence[Fault]:
-    """Draw the faults of a seed, those that servers report among them."""
+    """Draw the faults of a seed, with reports of servers and odd entries."""
     return (
         *draw_faults(seed, span_s, nodes),
         *draw_reports(seed, span_s, nodes),
+        *draw_odd_entries(seed, span_s, nodes),
     )
 
 
--- a/soak/_stage.py
+++ b/soak/_stage.py
@@ -10,6 +10,7 @@
 import time
 from pathlib import Path
 from typing import Any, Final, NamedTuple
+from urllib.parse import urlencode
 
 from carobmoor.history import Event, EventKind
 from carobmoor.transport import (
@@ -25,12 +26,12 @@
 
 SERVICE: Final = 'svc'
 _ZONES: Final = ('north-a', 'north-b', 'south-a')
-_GOSSIP_PORT: Final = 7620
-_NODE_PORT: Final = 8300
+GOSSIP_PORT: Final = 7620
+NODE_PORT: Final = 8300
 _SERVER_PORT: Final = 8301
 _READY_PORT: Final = 8302
 _CALLER_PORT: Final = 8304
-_CONTROL_PORT: Final = 8306
+CONTROL_PORT: Final = 8306
 _STORE_PORT: Final = 8309
 # The server listens here; nodes reach it through the relay at `_SERVER_PORT`.
 _REAL_SERVER_PORT: Final = 8311
@@ -103,7 +104,7 @@
             real = place.at(_REAL_SERVER_PORT)
             await self._add_relay('server', place, _SERVER_PORT, real)
             backend = AnnouncingServer(
-                self.record, real, place.at(_CONTROL_PORT)
+                self.record, real, place.at(CONTROL_PORT)
             )
             backend.service = SERVICE
             self.servers[place] = backend
@@ -158,14 +159,29 @@
         self.version += 1
         version = self.version
         while True:
-            read_rows = await self._call_store('GET', '/v1/rows-get?table=op')
-            if read_rows is not None:
-                rows = json.loads(read_rows)['rows']
-                before = rows[0]['rowVersion'] if rows else 0
-                if await self._try_put(self.version, before):
-                    return version
+            content = json.dumps(_build_routes(self.version)).encode()
+            if await self.write_row('op', 'config', content):
+                return version
             await asyncio.sleep(_RETRY_S)
 
+    async def write_row(self, table: str, key: str, content: bytes) -> bool:
+        """Write a row, whatever it holds; returns whether that succeeded."""
+        query = urlencode(
+            {'table': table, 'startKey': key, 'target': f'{key}\0'}
+        )
+        read_rows = await self._call_store('GET', f'/v1/rows-get?{query}')
+        if read_rows is None:
+            return False
+        rows = json.loads(read_rows)['rows']
+        row = {'table': table, 'part': '', 'key': key}
+        before = rows[0]['rowVersion'] if rows else 0
+        transaction = {
+            'expected': [{**row, 'rowVersion': before}],
+            'put': [{**row, 'value': base64.b64encode(content).decode()}],
+        }
+        body = json.dumps(transaction).encode()
+        return await self._call_store('POST', '/v1/rows-tx', body) is not None
+
     async def all_ready(self) -> bool:
         """Return whether every node reports that it is ready."""
         return all([await self.is_ready(place) for place in self.places])
@@ -199,16 +215,6 @@
         self.relays[(link, place)] = relay
         self._servers.append(await relay.listen(place.at(port)))
 
-    async def _try_put(self, version: int, before: int) -> bool:
-        content = json.dumps(_build_routes(version)).encode()
-        row = {'table': 'op', 'part': '', 'key': 'config'}
-        transaction = {
-            'expected': [{**row, 'rowVersion': before}],
-            'put': [{**row, 'value': base64.b64encode(content).decode()}],
-        }
-        body = json.dumps(transaction).encode()
-        return await self._call_store('POST', '/v1/rows-tx', body) is not None
-
     async def _call_store(
         self, method: str, target: str, body: bytes = b''
     ) -> bytes | None:
@@ -249,10 +255,10 @@
         'service': SERVICE,
         'app': place.at(_SERVER_PORT),
         'listen.outbound': place.at(_CALLER_PORT),
-        'listen.inbound': place.at(_NODE_PORT),
+        'listen.inbound': place.at(NODE_PORT),
         'listen.readiness': place.at(_READY_PORT),
-        'listen.control': place.at(_CONTROL_PORT),
-        'internalPorts': f'{_GOSSIP_PORT},{_GOSSIP_PORT + 15}',
+        'listen.control': place.at(CONTROL_PORT),
+        'internalPorts': f'{GOSSIP_PORT},{GOSSIP_PORT + 15}',
         'platform.address': place.at(_STORE_PORT),
         'heartbeat': '300ms',
         'bounds': 'grace=6s,retryBudgetRatio=0.2,retryBudgetSlack=58',
