--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -113,8 +113,10 @@
         self._declared_bytes = 0
         # Of the header fields behind a body in chunks.
         self._trailer_bytes = 0
-        # The limit that was in force when the request being read began.
-        self._max_head_bytes = listener.limits().max_head_bytes
+        # The limits that were in force when the request being read began.
+        limits = listener.limits()
+        self._max_head_bytes = limits.max_head_bytes
+        self._max_body_bytes = limits.max_body_bytes
         # No more requests are taken: one was refused or closes the connection.
         self._is_input_ended = False
         self._is_refused = False
@@ -168,6 +170,7 @@
         self._trailer_bytes = 0
         limits = self._listener.limits()
         self._max_head_bytes = limits.max_head_bytes
+        self._max_body_bytes = limits.max_body_bytes
         self._start_timer(limits.head_timeout_s, self._refuse_late_head)
 
     def on_url(self, part: bytes) -> None:
@@ -207,7 +210,8 @@
                 HTTPStatus.BAD_REQUEST, 'protocol upgrade not supported'
             )
         self._declared_bytes = request.body_bytes
-        self._check_body_size(self._declared_bytes)
+        if self._declared_bytes > self._max_body_bytes:
+            self._refuse_body(self._declared_bytes)
         if self._is_input_ended:
             return
         slot = self._order.append(request)
@@ -219,16 +223,16 @@
         self._start_due()
 
     def on_body(self, chunk: bytes) -> None:
-        """Buffer a chunk and pause reading while the buffer is full."""
+        """Buffer a chunk; `_parse` pauses reading while the buffer is full."""
         request = self._reading_request
         if request is None:
             return
         self._framing.restart()
         self._body_bytes += len(chunk)
-        self._check_body_size(self._body_bytes)
-        if self._reading_request is request:
+        if self._body_bytes > self._max_body_bytes:
+            self._refuse_body(self._body_bytes)
+        else:
             request.feed(chunk)
-            self._update_reading()
 
     def on_message_complete(self) -> None:
         """Mark the request as complete, so that it may overlap others."""
@@ -368,6 +372,8 @@
         except httptools.HttpParserUpgrade:
             # `on_headers_complete` has refused the request.
             return
+        if self._reading_request is not None:
+            self._update_reading()
         self._framing.add(len(piece))
         if self._framing.exceeds(self._max_head_bytes):
             self._refuse(
@@ -382,12 +388,11 @@
                 status, f'head of {head_bytes} bytes exceeds the limit'
             )
 
-    def _check_body_size(self, body_bytes: int) -> None:
-        if body_bytes > self._listener.limits().max_body_bytes:
-            self._refuse(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f'body of {body_bytes} bytes exceeds the limit',
-            )
+    def _refuse_body(self, body_bytes: int) -> None:
+        self._refuse(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            f'body of {body_bytes} bytes exceeds the limit',
+        )
 
     def _refuse(self, status: HTTPStatus, reason: str) -> None:
         """Refuse what is being read; the answers before it go first."""
