Leave odd rows that are read before those of the nodes, and hold to one decoder

Odd rows of the soak came behind those of the nodes in the order of keys, so that the nodes had been read before an error, and records lacked their last fields. A test asks that only carobmoor.decoding decodes JSON.

--- a/carobmoor/decoding/tests/test_decoder.py
+++ b/carobmoor/decoding/tests/test_decoder.py
@@ -1,8 +1,12 @@
 """Bytes of another writer raise one kind of error, and never end a task."""
 
+import re
+from pathlib import Path
+
 import msgspec
 from nose2.tools import params
 
+import carobmoor
 from carobmoor.decoding import Count, decode_json, decoder_of, repair_json
 from carobmoor.decoding.tests.odd_values import ODD_VALUES
 
@@ -49,3 +53,16 @@
     """Content without odd values is returned as it is."""
     encoded = rb'[[["]"], {"a": [1, "\\"]}], 2]'
     assert repair_json(encoded) == encoded
+
+
+# Guards against another decoder, whose readers expect only some of its errors.
+def test_no_other_module_decodes_json():
+    """Only `carobmoor.decoding` decodes what another process wrote."""
+    sources = Path(carobmoor.__path__[0])
+    decoding = {
+        path.relative_to(sources).as_posix()
+        for path in sources.rglob('*.py')
+        if 'tests' not in path.parts
+        and re.search(r'json\.(decode|Decoder|loads)\b', path.read_text())
+    }
+    assert decoding == {'decoding/_decoder.py'}
--- a/soak/_odd_entries.py
+++ b/soak/_odd_entries.py
@@ -49,7 +49,8 @@
 def _record_of(place: Place) -> Sequence[Any]:
     """Return the record of a node that started long ago."""
     address: list[Any] = [place.ip, NODE_PORT]
-    return [*address, 1, _FIRST_REVISION, place.zone, SERVICE, 'i-odd', 4]
+    server = [SERVICE, 'i-odd', 4, False, 0]
+    return [*address, 1, _FIRST_REVISION, place.zone, *server]
 
 
 async def _leave_odd_row(
@@ -58,7 +59,8 @@
     """Replace the row of a node, or add one beside it."""
     key = str(place.at(NODE_PORT))
     if fault.variant % 2:
-        key = f'odd-{fault.variant}'
+        # Read before the rows of nodes.
+        key = f'0-odd-{fault.variant}'
     content = _odd_variant(_record_of(place), fault)
     await deployment.write_row('nodes', key, content)
 
