Let callers of the soak upload in chunks

No caller of the soak sent a body in chunks, so that it could not meet the count of chunks as framing.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import AsyncIterator
 from typing import Any, Final, NamedTuple
 
 import xxhash
@@ -35,6 +36,7 @@
 _NEW_CONNECTION_SHARE: Final = 0.3
 # More than a node buffers per connection.
 _UPLOAD_BYTES: Final = 90_000
+_CHUNK_BYTES: Final = 900
 _request_numbers = itertools.count(1)
 
 
@@ -45,6 +47,8 @@
     target: str
     body_bytes: int
     repeatable: bool
+    # Size of the chunks of its body; zero for a body with a length.
+    chunk_bytes: int = 0
 
 
 REQUEST_KINDS: Final = (
@@ -52,6 +56,13 @@
     RequestKind('GET', '/get/b', 0, repeatable=True),
     RequestKind('POST', '/post/a', 2000, repeatable=False),
     RequestKind('POST', '/up/a', _UPLOAD_BYTES, repeatable=False),
+    RequestKind(
+        'POST',
+        '/up/b',
+        _UPLOAD_BYTES,
+        repeatable=False,
+        chunk_bytes=_CHUNK_BYTES,
+    ),
 )
 
 
@@ -96,6 +107,9 @@
     request = OutgoingRequest(
         request_kind.method, request_kind.target, headers, body
     )
+    if request_kind.chunk_bytes:
+        chunks = _chunks_of(body, request_kind.chunk_bytes)
+        request = request._replace(body=b'', more_body=chunks)
     record(
         EventKind.SENT,
         process='caller',
@@ -136,6 +150,11 @@
     return answer.head.status
 
 
+async def _chunks_of(body: bytes, chunk_bytes: int) -> AsyncIterator[bytes]:
+    for start in range(0, len(body), chunk_bytes):
+        yield body[start : start + chunk_bytes]
+
+
 def next_request_id() -> str:
     """Return a request id that no other request has."""
     return f'r-{next(_request_numbers)}'
