--- a/carobmoor/decoding/tests/test_decoder.py
+++ b/carobmoor/decoding/tests/test_decoder.py
@@ -6,7 +6,6 @@
 import msgspec
 from nose2.tools import params
 
-import carobmoor
 from carobmoor.decoding import Count, decode_json, decoder_of, repair_json
 from carobmoor.decoding.tests.odd_values import ODD_VALUES
 
@@ -58,7 +57,7 @@
 # Guards against another decoder, whose readers expect only some of its errors.
 def test_no_other_module_decodes_json():
     """Only `carobmoor.decoding` decodes what another process wrote."""
-    sources = Path(carobmoor.__path__[0])
+    sources = Path(__file__).parents[2]
     decoding = {
         path.relative_to(sources).as_posix()
         for path in sources.rglob('*.py')
