--- a/soak/_odd_entries.py
+++ b/soak/_odd_entries.py
@@ -62,7 +62,7 @@
         # Read before the rows of nodes.
         key = f'0-odd-{fault.variant}'
     content = _odd_variant(_record_of(place), fault)
-    await deployment.write_row('nodes', key, content)
+    await deployment.write_row('nodes', key, lambda: content)
 
 
 async def _send_odd_check_in(
--- a/soak/_stage.py
+++ b/soak/_stage.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
@@ -167,13 +168,18 @@
         self.version += 1
         version = self.version
         while True:
-            content = json.dumps(_build_routes(self.version)).encode()
-            if await self.write_row('op', 'config', content):
+            if await self.write_row('op', 'config', self._encode_routes):
                 return version
             await asyncio.sleep(_RETRY_S)
 
-    async def write_row(self, table: str, key: str, content: bytes) -> bool:
-        """Write a row, whatever it holds; returns whether that succeeded."""
+    async def write_row(
+        self, table: str, key: str, encode: Callable[[], bytes]
+    ) -> bool:
+        """Write a row, whatever it holds; returns whether that succeeded.
+
+        `encode` is called once the present row was read, so that what it
+        returns is not older than that.
+        """
         query = urlencode(
             {'table': table, 'startKey': key, 'target': f'{key}\0'}
         )
@@ -185,7 +191,7 @@
         before = rows[0]['rowVersion'] if rows else 0
         transaction = {
             'expected': [{**row, 'rowVersion': before}],
-            'put': [{**row, 'value': base64.b64encode(content).decode()}],
+            'put': [{**row, 'value': base64.b64encode(encode()).decode()}],
         }
         body = json.dumps(transaction).encode()
         return await self._call_store('POST', '/v1/rows-tx', body) is not None
@@ -223,6 +229,9 @@
         self.relays[(link, place)] = relay
         self._servers.append(await relay.listen(place.at(port)))
 
+    def _encode_routes(self) -> bytes:
+        return json.dumps(_build_routes(self.version)).encode()
+
     async def _call_store(
         self, method: str, target: str, body: bytes = b''
     ) -> bytes | None:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -95,7 +95,7 @@
     row = b'["127.9.9.9",8300,1,3,"north-a","svc","i-odd",4,false,0,%b]' % deep
     async with SoakDeployment(NODES) as deployment:
         await deployment.start_all()
-        assert await deployment.write_row('nodes', '0-odd', row)
+        assert await deployment.write_row('nodes', '0-odd', lambda: row)
         for places in (deployment.places[:1], deployment.places):
             for place in places:
                 deployment.send_signal(place, signal.SIGKILL)
