Measure round trips from answers to hellos alone

Within a minute of a machine's start, hellos that answer none were measured against the start of its clock, and all other nodes looked some seconds away.

Test, before: test_round_trip_is_measured_from_answers:1 fails; after: none.

--- a/carobmoor/mesh/_gossip.py
+++ b/carobmoor/mesh/_gossip.py
@@ -204,7 +204,7 @@
         now_s = time.monotonic()
         self._mark_alive(peer, now_s, hello.version)
         measured_ms = (now_s - hello.echoed_us / _US_PER_S) * _MS_PER_S
-        if 0 <= measured_ms <= _MAX_ROUND_TRIP_MS:
+        if hello.echoed_us and 0 <= measured_ms <= _MAX_ROUND_TRIP_MS:
             gap_ms = measured_ms - peer.round_trip_ms
             peer.round_trip_ms += _ROUND_TRIP_SMOOTHING * gap_ms
         if hello.wants_reply:
--- a/carobmoor/mesh/tests/test_odd_entries.py
+++ b/carobmoor/mesh/tests/test_odd_entries.py
@@ -128,6 +128,20 @@
     assert gossip._node.peers.find_by_ip(PEER.ip) is None
 
 
+# Guards against round trips that are measured from another clock, or from a
+# hello that answers none, on a machine that has just started.
+@params((0, 0.4), (59_000_000, 0.4), (9_000_000_000, 0.4), (29_990_000, 2.3))
+def test_round_trip_is_measured_from_answers(echoed_us, expected_ms):
+    """Only the answer to an own hello, on the own clock, is measured."""
+    gossip, _ = gossip_with(0)
+    hello = Hello(PEER, 0, False, 5, echoed_us)
+    with mock.patch('carobmoor.mesh._gossip.time.monotonic', lambda: 30.0):
+        gossip.datagram_received(encode_datagram(hello), PEER_SOURCE)
+    known = gossip._node.peers.find_by_ip(PEER.ip)
+    assert known is not None
+    assert round(known.round_trip_ms, 1) == expected_ms
+
+
 # Guards against a row whose number outdates what its node says of itself.
 def test_row_does_not_outdate_its_node():
     """A record of the node itself replaces that of a row."""
