Show that a stopping node cuts answers that it still holds

Rule: LOST, around a SIGTERM of the node that took the request. Disruption: one node at a time gets SIGTERM while five callers read 540,000 bytes each over a link of 5 Mbit/s.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,140 @@
+"""A node gets SIGTERM while callers read large answers over a slow link."""
+
+import asyncio
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / 'lab-2'))
+
+import lab  # noqa: E402
+
+SERVICE = 'huvo11a'
+MACHINES = 4
+# A link of the sheets has 5 to 100 Mbit/s; the callers share this one. It has
+# the segment size of Ethernet and a small window.
+LINK_MBIT_PER_S = 5
+SEGMENT_BYTES = 1460
+WINDOW_BYTES = 4096
+CALLERS = 5
+# The largest answer of `ficheiro-impressao` in its site file.
+ANSWER_BYTES = 540_000
+# As `ficheiro-impressao` of the sheets.
+DEADLINE_MS = 5296
+TERM_AFTER_S = 0.3
+_BLOCK = bytes(range(256)) * 256
+
+
+async def answer_large(writer, first, headers, body):
+    """Answer as a sound server does, with many bytes."""
+    request_id = headers['x-carobmoor-request-id']
+    writer.write(
+        f'HTTP/1.1 200 OK\r\nX-Carobmoor-Request-Id: {request_id}\r\n'
+        f'X-Carobmoor-Response-Signature: {request_id}.1\r\n'
+        f'content-length: {ANSWER_BYTES}\r\n\r\n'.encode()
+    )
+    left = ANSWER_BYTES
+    while left:
+        piece = _BLOCK[:left]
+        writer.write(piece)
+        left -= len(piece)
+        await writer.drain()
+    return True
+
+
+def read_slowly(ip, request_id):
+    """Send a request, read at the speed of the link; return what came."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    caller.settimeout(DEADLINE_MS / 1000)
+    caller.connect((ip, 8304))
+    headers = (
+        ('X-Carobmoor-Request-Id', request_id),
+        ('X-Carobmoor-Deadline-Ms', str(DEADLINE_MS)),
+    )
+    began = time.monotonic()
+    caller.sendall(
+        lab.encode_request('GET', '/cufi502/2f', headers=headers, host=lab.HOST)
+    )
+    received = b''
+    while b'\r\n\r\n' not in received:
+        part = caller.recv(4096)
+        if not part:
+            return 'closed without an answer', 0, time.monotonic() - began
+        received += part
+    head, _, start = received.partition(b'\r\n\r\n')
+    status = head.split(b' ')[1].decode()
+    got = len(start)
+    per_s = LINK_MBIT_PER_S * 125_000 / CALLERS
+    first_s = time.monotonic()
+    outcome = 'complete'
+    while got < ANSWER_BYTES:
+        ahead_s = got / per_s - (time.monotonic() - first_s)
+        if ahead_s > 0:
+            time.sleep(ahead_s)
+        if time.monotonic() - began > DEADLINE_MS / 1000:
+            outcome = 'deadline'
+            break
+        try:
+            part = caller.recv(4096)
+        except OSError as error:
+            outcome = f'cut: {error}'
+            break
+        if not part:
+            outcome = 'cut'
+            break
+        got += len(part)
+    caller.close()
+    return f'{status} {outcome}', got, time.monotonic() - began
+
+
+async def run():
+    platform = lab.Platform(FOLDER, [SERVICE] * MACHINES)
+    record = platform.record
+    routes = [lab.route('/cufi502/', SERVICE, 'download', '6s')]
+    cut = 0
+    try:
+        await platform.start(lab.document(1, routes, [SERVICE]))
+        for server in platform.servers:
+            server.special = answer_large
+        await asyncio.sleep(3)
+        for place in platform.places:
+            reads = [
+                asyncio.create_task(
+                    asyncio.to_thread(
+                        read_slowly, place.ip, f'r{place.number}-{number}'
+                    )
+                )
+                for number in range(CALLERS)
+            ]
+            await asyncio.sleep(TERM_AFTER_S)
+            term_s = time.monotonic()
+            if lab.TROUBLE:
+                platform.signal(place, signal.SIGTERM)
+                await place.process.wait()
+                record.say(
+                    f'node {place.number} ended {time.monotonic() - term_s:.2f}'
+                    f' s after SIGTERM with code {place.process.returncode}'
+                )
+            for number, read in enumerate(reads):
+                outcome, got, took_s = await read
+                record.say(
+                    f'r{place.number}-{number}: {outcome}, {got} of '
+                    f'{ANSWER_BYTES} bytes in {took_s:.2f} s'
+                )
+                cut += 'cut' in outcome or 'closed' in outcome
+            if lab.TROUBLE:
+                await platform.start_node(place)
+                await platform.wait_ready([place])
+                await asyncio.sleep(3.5)
+    finally:
+        await platform.close()
+    record.say(f'LOST: {"broken" if cut else "held"}; {cut} answers cut')
+    return lab.BROKEN if cut else lab.HELD
+
+
+lab.run(run)
