--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,30 +13,33 @@
 import lab  # noqa: E402
 
 SERVICE = 'huvo11a'
-MACHINES = 4
+MACHINES = 16
 # A link of the sheets has 5 to 100 Mbit/s; the callers share this one. It has
 # the segment size of Ethernet and a small window.
 LINK_MBIT_PER_S = 5
 SEGMENT_BYTES = 1460
 WINDOW_BYTES = 4096
-CALLERS = 5
-# The largest answer of `ficheiro-impressao` in its site file.
-ANSWER_BYTES = 540_000
+# One for each caller: the largest answer of `ficheiro-impressao` in its site
+# file.
+ANSWER_BYTES = (540_000,) * 5
 # As `ficheiro-impressao` of the sheets.
 DEADLINE_MS = 5296
 TERM_AFTER_S = 0.3
+# Between two machines, without a stop.
+PAUSE_S = 1.0
 _BLOCK = bytes(range(256)) * 256
 
 
 async def answer_large(writer, first, headers, body):
     """Answer as a sound server does, with many bytes."""
     request_id = headers['x-carobmoor-request-id']
+    size = int(first.split('/')[2].split(' ')[0])
     writer.write(
         f'HTTP/1.1 200 OK\r\nX-Carobmoor-Request-Id: {request_id}\r\n'
         f'X-Carobmoor-Response-Signature: {request_id}.1\r\n'
-        f'content-length: {ANSWER_BYTES}\r\n\r\n'.encode()
+        f'content-length: {size}\r\n\r\n'.encode()
     )
-    left = ANSWER_BYTES
+    left = size
     while left:
         piece = _BLOCK[:left]
         writer.write(piece)
@@ -45,7 +48,7 @@
     return True
 
 
-def read_slowly(ip, request_id):
+def read_slowly(ip, request_id, size):
     """Send a request, read at the speed of the link; return what came."""
     caller = socket.socket()
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
@@ -58,21 +61,23 @@
     )
     began = time.monotonic()
     caller.sendall(
-        lab.encode_request('GET', '/cufi502/2f', headers=headers, host=lab.HOST)
+        lab.encode_request(
+            'GET', f'/cufi502/{size}', headers=headers, host=lab.HOST
+        )
     )
     received = b''
     while b'\r\n\r\n' not in received:
         part = caller.recv(4096)
         if not part:
-            return 'closed without an answer', 0, time.monotonic() - began
+            return 'closed without an answer', 0, size, time.monotonic() - began
         received += part
     head, _, start = received.partition(b'\r\n\r\n')
     status = head.split(b' ')[1].decode()
     got = len(start)
-    per_s = LINK_MBIT_PER_S * 125_000 / CALLERS
+    per_s = LINK_MBIT_PER_S * 125_000 / len(ANSWER_BYTES)
     first_s = time.monotonic()
     outcome = 'complete'
-    while got < ANSWER_BYTES:
+    while got < size:
         ahead_s = got / per_s - (time.monotonic() - first_s)
         if ahead_s > 0:
             time.sleep(ahead_s)
@@ -89,7 +94,7 @@
             break
         got += len(part)
     caller.close()
-    return f'{status} {outcome}', got, time.monotonic() - began
+    return f'{status} {outcome}', got, size, time.monotonic() - began
 
 
 async def run():
@@ -102,35 +107,33 @@
         for server in platform.servers:
             server.special = answer_large
         await asyncio.sleep(3)
+        reads = {}
         for place in platform.places:
-            reads = [
-                asyncio.create_task(
-                    asyncio.to_thread(
-                        read_slowly, place.ip, f'r{place.number}-{number}'
-                    )
+            for number, size in enumerate(ANSWER_BYTES):
+                name = f'r{place.number}-{number}'
+                reads[name] = asyncio.create_task(
+                    asyncio.to_thread(read_slowly, place.ip, name, size)
                 )
-                for number in range(CALLERS)
-            ]
             await asyncio.sleep(TERM_AFTER_S)
+            if not lab.TROUBLE:
+                await asyncio.sleep(PAUSE_S)
+                continue
             term_s = time.monotonic()
-            if lab.TROUBLE:
-                platform.signal(place, signal.SIGTERM)
-                await place.process.wait()
-                record.say(
-                    f'node {place.number} ended {time.monotonic() - term_s:.2f}'
-                    f' s after SIGTERM with code {place.process.returncode}'
-                )
-            for number, read in enumerate(reads):
-                outcome, got, took_s = await read
-                record.say(
-                    f'r{place.number}-{number}: {outcome}, {got} of '
-                    f'{ANSWER_BYTES} bytes in {took_s:.2f} s'
-                )
-                cut += 'cut' in outcome or 'closed' in outcome
-            if lab.TROUBLE:
-                await platform.start_node(place)
-                await platform.wait_ready([place])
-                await asyncio.sleep(3.5)
+            platform.signal(place, signal.SIGTERM)
+            await place.process.wait()
+            record.say(
+                f'node {place.number} ended {time.monotonic() - term_s:.2f}'
+                f' s after SIGTERM with code {place.process.returncode}'
+            )
+            # One machine at a time: the next one when this one is back.
+            await platform.start_node(place)
+            await platform.wait_ready([place])
+        for name, read in reads.items():
+            outcome, got, size, took_s = await read
+            record.say(
+                f'{name}: {outcome}, {got} of {size} bytes in {took_s:.2f} s'
+            )
+            cut += 'cut' in outcome or 'closed' in outcome
     finally:
         await platform.close()
     record.say(f'LOST: {"broken" if cut else "held"}; {cut} answers cut')
