--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,17 +3,16 @@
 import asyncio
 import signal
 import socket
-import sys
 import time
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'lab-2'))
-
-import lab  # noqa: E402
+import lab
 
+FOLDER = Path(__file__).resolve().parent
 SERVICE = 'huvo11a'
-MACHINES = 16
+# Of the machines 0.44 are stopped; the largest share on the site is 0.45.
+MACHINES = 36
+STOPPED = 16
 # A link of the sheets has 5 to 100 Mbit/s; the callers share this one. It has
 # the segment size of Ethernet and a small window.
 LINK_MBIT_PER_S = 5
@@ -98,7 +97,9 @@
 
 
 async def run():
-    platform = lab.Platform(FOLDER, [SERVICE] * MACHINES)
+    platform = lab.Platform(
+        FOLDER, [SERVICE] * MACHINES, lab.VASCONCELOS_MESH
+    )
     record = platform.record
     routes = [lab.route('/cufi502/', SERVICE, 'download', '6s')]
     cut = 0
@@ -108,7 +109,7 @@
             server.special = answer_large
         await asyncio.sleep(3)
         reads = {}
-        for place in platform.places:
+        for place in platform.places[:STOPPED]:
             for number, size in enumerate(ANSWER_BYTES):
                 name = f'r{place.number}-{number}'
                 reads[name] = asyncio.create_task(
