--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A node gets SIGTERM while callers read large answers over a slow link."""
 
 import asyncio
+import functools
 import signal
 import socket
 import time
@@ -29,14 +30,14 @@
 _BLOCK = bytes(range(256)) * 256
 
 
-async def answer_large(writer, first, headers, body):
+async def answer_large(server, writer, first, headers, body):
     """Answer as a sound server does, with many bytes."""
     request_id = headers['x-carobmoor-request-id']
     size = int(first.split('/')[2].split(' ')[0])
     writer.write(
         f'HTTP/1.1 200 OK\r\nX-Carobmoor-Request-Id: {request_id}\r\n'
         f'X-Carobmoor-Response-Signature: {request_id}.1\r\n'
-        f'content-length: {size}\r\n\r\n'.encode()
+        f'{server.load()}content-length: {size}\r\n\r\n'.encode()
     )
     left = size
     while left:
@@ -106,7 +107,7 @@
     try:
         await platform.start(lab.document(1, routes, [SERVICE]))
         for server in platform.servers:
-            server.special = answer_large
+            server.special = functools.partial(answer_large, server)
         await asyncio.sleep(3)
         reads = {}
         for place in platform.places[:STOPPED]:
