--- a/carobmoor/mesh/__init__.py
+++ b/carobmoor/mesh/__init__.py
@@ -6,12 +6,8 @@
 beside that server, which decides whether to run it.
 """
 
-from carobmoor.mesh._daemon import (
-    MeshParts,
-    leave_mesh_node,
-    run_mesh_node,
-    start_mesh_node,
-)
+from carobmoor.mesh._daemon import run_mesh_node, start_mesh_node
+from carobmoor.mesh._leave import leave_mesh_node
 from carobmoor.mesh._messages import (
     Announcement,
     HeaderNames,
@@ -20,6 +16,7 @@
     MeshSettings,
     ServerStatus,
 )
+from carobmoor.mesh._parts import MeshParts
 from carobmoor.mesh._route_follower import RouteSource
 from carobmoor.mesh._state import MeshNode
 
--- a/carobmoor/mesh/_daemon.py
+++ b/carobmoor/mesh/_daemon.py
@@ -4,105 +4,23 @@
 import functools
 import gc
 import signal
-import time
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 from result import Result
 
-from carobmoor.admission import stop_times
-from carobmoor.mesh._announcements import (
-    ANNOUNCEMENT_LIMITS,
-    AnnouncementHandler,
-    DecodeAnnouncement,
-    serve_readiness,
-)
 from carobmoor.mesh._follow_slowdown import follow_slowdown
-from carobmoor.mesh._forward import is_idempotent, serve_caller
-from carobmoor.mesh._freshness_keeper import FreshnessKeeper
-from carobmoor.mesh._gossip import GossipProtocol
+from carobmoor.mesh._leave import leave_mesh_node
 from carobmoor.mesh._messages import MeshSettings
-from carobmoor.mesh._own_row import OwnRow
-from carobmoor.mesh._peer_requests import node_limits, serve_peer
+from carobmoor.mesh._parts import MeshParts
 from carobmoor.mesh._reload import follow_settings
-from carobmoor.mesh._request_log import serve_metrics
-from carobmoor.mesh._route_follower import RouteFollower, RouteSource
-from carobmoor.mesh._state import MeshNode
-from carobmoor.store import Store
 from carobmoor.telemetry import logger_for
-from carobmoor.transport import Listener, ServingLimits, monitor_pauses
-
-_MS_PER_S: Final = 1000
-_POLL_INTERVAL_S: Final = 0.05
-# No request for this long shows that callers know that this node stops.
-_MIN_IDLE_S: Final = 2.5
-# Reserved from the time to stop, to end the requests still running.
-_STOP_MARGIN_S: Final = 0.4
-_REMOVE_ROW_TIMEOUT_S: Final = 0.3
+from carobmoor.transport import monitor_pauses
+
 _COLLECTOR_THRESHOLDS: Final = (50_000, 50, 50)
 _log = logger_for('node')
 
 
-class MeshParts:
-    """The components of one node that own its tasks and sockets."""
-
-    def __init__(
-        self,
-        node: MeshNode,
-        store: Store,
-        source: RouteSource,
-        decode_announcement: DecodeAnnouncement,
-    ) -> None:
-        """Create the components around a node; nothing runs yet."""
-        self.node = node
-        account = node.node_pool.account
-        self.follower = RouteFollower(node, store, source)
-        self.gossip = GossipProtocol(node, self.follower.fetch_version)
-        self.freshness_keeper = FreshnessKeeper(node, self.follower)
-        self.own_row = OwnRow(node, store, self.gossip)
-        self.callers = Listener(
-            functools.partial(serve_caller, node),
-            node.limits,
-            functools.partial(is_idempotent, node),
-            account,
-        )
-        node.metrics.overlapped_requests.set_function(
-            lambda: self.callers.overlapped
-        )
-        node.metrics.held_answer_bytes.set_function(
-            lambda: self.callers.held.total_bytes
-        )
-        node.metrics.held_bytes.set_function(lambda: account.held_bytes)
-        self.nodes = Listener(
-            functools.partial(serve_peer, node),
-            functools.partial(node_limits, node),
-            account=account,
-        )
-        node.metrics.shed_connections.set_function(
-            lambda: self.callers.guard.shed + self.nodes.guard.shed
-        )
-        self.readiness = Listener(
-            functools.partial(serve_readiness, node),
-            ServingLimits,
-            account=account,
-            is_control=True,
-        )
-        self.metrics = Listener(
-            functools.partial(serve_metrics, node),
-            ServingLimits,
-            account=account,
-            is_control=True,
-        )
-        self.announcements = Listener(
-            AnnouncementHandler(
-                node, self.gossip, self.own_row, decode_announcement
-            ).serve,
-            lambda: ANNOUNCEMENT_LIMITS,
-            account=account,
-            is_control=True,
-        )
-
-
 async def run_mesh_node(
     parts: MeshParts,
     reload: Callable[[], Result[MeshSettings, str]],
@@ -183,55 +101,6 @@
         await asyncio.sleep(restart_s)
 
 
-async def leave_mesh_node(parts: MeshParts) -> None:
-    """Stop without cutting off a request: callers first, then the rest.
-
-    Requests are accepted while they can end before the row is deleted.
-    """
-    node = parts.node
-    stop_s = node.settings.bounds.stop_ms / _MS_PER_S - _STOP_MARGIN_S
-    node.is_leaving = True
-    node.stop_times = stop_times(
-        time.monotonic(), stop_s - _REMOVE_ROW_TIMEOUT_S
-    )
-    _log.info('Node stops.', in_hand=node.callers.unfinished)
-    parts.gossip.notify_change()
-    node.gate.refuse_waiting()
-    requests_end_s = node.stop_times.requests_end_s
-    await _wait_idle(node, requests_end_s, _MIN_IDLE_S)
-    if node.backend.last_announcement is None or not node.backend.is_ready:
-        await _remove_row(parts)
-    parts.callers.close()
-    parts.nodes.close()
-    # Requests may have been accepted since the last look.
-    await _wait_idle(node, requests_end_s + _REMOVE_ROW_TIMEOUT_S, 0)
-
-
-async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
-    """Wait until no request has run for a time, but no longer than `until_s`.
-
-    A request counts from its arrival, so that a quiet moment shows that no
-    more are coming.
-    """
-    started_s = time.monotonic()
-    while True:
-        await asyncio.sleep(_POLL_INTERVAL_S)
-        now_s = time.monotonic()
-        idle_s = now_s - max(node.callers.last_arrival_s, started_s)
-        busy = node.callers.unfinished or node.gate.state.in_flight_total
-        if now_s >= until_s or (not busy and idle_s > min_idle_s):
-            return
-
-
-async def _remove_row(parts: MeshParts) -> None:
-    """Delete the own row, since the backend server won't come back."""
-    try:
-        async with asyncio.timeout(_REMOVE_ROW_TIMEOUT_S):
-            await parts.own_row.remove()
-    except TimeoutError:
-        _log.warning('Deleting the own row timed out; it may stay.')
-
-
 def _tune_garbage_collector() -> None:
     """Reduce request pauses from collections of long-lived objects."""
     gc.collect()
--- /dev/null
+++ b/carobmoor/mesh/_leave.py
@@ -0,0 +1,68 @@
+"""Stops a mesh node without cutting off a request."""
+
+import asyncio
+import time
+from typing import Final
+
+from carobmoor.admission import stop_times
+from carobmoor.mesh._parts import MeshParts
+from carobmoor.mesh._state import MeshNode
+from carobmoor.telemetry import logger_for
+
+_MS_PER_S: Final = 1000
+_POLL_INTERVAL_S: Final = 0.05
+# No request for this long shows that callers know that this node stops.
+_MIN_IDLE_S: Final = 2.5
+# Reserved from the time to stop, to end the requests still running.
+_STOP_MARGIN_S: Final = 0.4
+_REMOVE_ROW_TIMEOUT_S: Final = 0.3
+_log = logger_for('node')
+
+
+async def leave_mesh_node(parts: MeshParts) -> None:
+    """Stop without cutting off a request: callers first, then the rest.
+
+    Requests are accepted while they can end before the row is deleted.
+    """
+    node = parts.node
+    stop_s = node.settings.bounds.stop_ms / _MS_PER_S - _STOP_MARGIN_S
+    node.is_leaving = True
+    node.stop_times = stop_times(
+        time.monotonic(), stop_s - _REMOVE_ROW_TIMEOUT_S
+    )
+    _log.info('Node stops.', in_hand=node.callers.unfinished)
+    parts.gossip.notify_change()
+    node.gate.refuse_waiting()
+    requests_end_s = node.stop_times.requests_end_s
+    await _wait_idle(node, requests_end_s, _MIN_IDLE_S)
+    if node.backend.last_announcement is None or not node.backend.is_ready:
+        await _remove_row(parts)
+    parts.callers.close()
+    parts.nodes.close()
+    # Requests may have been accepted since the last look.
+    await _wait_idle(node, requests_end_s + _REMOVE_ROW_TIMEOUT_S, 0)
+
+
+async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
+    """Wait until no request has run for a time, but no longer than `until_s`.
+
+    A request counts from its arrival, so that a quiet moment shows that no
+    more are coming.
+    """
+    started_s = time.monotonic()
+    while True:
+        await asyncio.sleep(_POLL_INTERVAL_S)
+        now_s = time.monotonic()
+        idle_s = now_s - max(node.callers.last_arrival_s, started_s)
+        busy = node.callers.unfinished or node.gate.state.in_flight_total
+        if now_s >= until_s or (not busy and idle_s > min_idle_s):
+            return
+
+
+async def _remove_row(parts: MeshParts) -> None:
+    """Delete the own row, since the backend server won't come back."""
+    try:
+        async with asyncio.timeout(_REMOVE_ROW_TIMEOUT_S):
+            await parts.own_row.remove()
+    except TimeoutError:
+        _log.warning('Deleting the own row timed out; it may stay.')
--- a/carobmoor/mesh/tests/test_robustness.py
+++ b/carobmoor/mesh/tests/test_robustness.py
@@ -121,8 +121,8 @@
 
         mesh.store.delete_row = delete_slowly
         with (
-            mock.patch('carobmoor.mesh._daemon._MIN_IDLE_S', 0.1),
-            mock.patch('carobmoor.mesh._daemon._REMOVE_ROW_TIMEOUT_S', 5),
+            mock.patch('carobmoor.mesh._leave._MIN_IDLE_S', 0.1),
+            mock.patch('carobmoor.mesh._leave._REMOVE_ROW_TIMEOUT_S', 5),
         ):
             await leave_mesh_node(stopping)
         assert not stopping.node.callers.unfinished
