Log each answer that the end of a process cuts

The log could not tell whether the cut answers were still served, held behind others, or written and not sent. A stop now logs, for each connection with an answer to send, its unsent bytes and the ids of requests without a whole answer; Request ended. names the connection, so that the id leads there.

--- a/carobmoor/mesh/_leave.py
+++ b/carobmoor/mesh/_leave.py
@@ -8,6 +8,7 @@
 from carobmoor.mesh._parts import MeshParts
 from carobmoor.mesh._state import MeshNode
 from carobmoor.telemetry import logger_for
+from carobmoor.transport import get_header
 
 _MS_PER_S: Final = 1000
 _POLL_INTERVAL_S: Final = 0.05
@@ -41,6 +42,7 @@
     parts.nodes.close()
     # Requests may have been accepted since the last look.
     await _wait_idle(node, requests_end_s + _REMOVE_ROW_TIMEOUT_S, 0)
+    _log_cut_answers(parts)
 
 
 async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
@@ -66,3 +68,23 @@
             await parts.own_row.remove()
     except TimeoutError:
         _log.warning('Deleting the own row timed out; it may stay.')
+
+
+def _log_cut_answers(parts: MeshParts) -> None:
+    """Log what the end of the process cuts off.
+
+    An answer that was written but not yet sent has a `Request ended.` line
+    that names the same peer.
+    """
+    id_name = parts.node.names.request_id
+    for listener in (parts.callers, parts.nodes):
+        for connection in listener.unfinished:
+            _log.warning(
+                'Answer cut by the end of the process.',
+                peer=connection.peer,
+                unsent_bytes=connection.unsent_bytes,
+                unanswered=[
+                    get_header(request.headers, id_name)
+                    for request in connection.unanswered
+                ],
+            )
--- a/carobmoor/mesh/_request_log.py
+++ b/carobmoor/mesh/_request_log.py
@@ -37,6 +37,7 @@
     _log.info(
         'Request ended.',
         request_id=request_id,
+        peer=request.peer,
         status=status,
         took_ms=int(duration_s * _MS_PER_S),
         route=route,
--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import select
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from http import HTTPStatus
 from typing import Final
 
@@ -107,6 +107,11 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    @property
+    def unfinished(self) -> Sequence['ServingConnection']:
+        """The connections that are still to send an answer or a part of one."""
+        return [one for one in self.connections if one.is_unfinished]
+
     def may_start_early(self, order: AnswerOrder) -> bool:
         """Return whether the limits allow one more overlapping request."""
         limits = self.limits()
@@ -329,9 +334,25 @@
         """Whether the connection was closed or reset."""
         return self._transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """What was written and is still to be taken by the kernel."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether an answer, or a part of one, is still to be sent."""
+        return self._order.first is not None or self.unsent_bytes > 0
+
+    @property
+    def unanswered(self) -> Sequence[IncomingRequest]:
+        """The requests whose answers have not been written to their end."""
+        requests = [slot.request for slot in self._order if not slot.has_ended]
+        return [request for request in requests if request is not None]
+
     def load(self) -> ConnectionLoad:
         """Return the state of the connection for the decisions."""
-        unsent_bytes = self._transport.get_write_buffer_size()
+        unsent_bytes = self.unsent_bytes
         return self._usage.load(self._phase(unsent_bytes), unsent_bytes)
 
     def give_up(self) -> None:
@@ -390,7 +411,7 @@
         held_bytes = (
             self._order.waiting_bytes
             + self._framing.unreported_bytes
-            + self._transport.get_write_buffer_size()
+            + self.unsent_bytes
         )
         reading = self._reading_request
         if reading is not None and not reading.method:
