Stop only when the kernel has taken each answer

Cause: a stop counted a request as ended when its handler had returned. The end of the answer, up to 64 KiB, may then still be in the write buffer of the connection, which the end of the event loop drops.

A stop now waits also for connections with an answer to send, no longer than the time to stop. That is the state in which dropping the buffers loses nothing.

--- a/carobmoor/mesh/_leave.py
+++ b/carobmoor/mesh/_leave.py
@@ -6,7 +6,6 @@
 
 from carobmoor.admission import stop_times
 from carobmoor.mesh._parts import MeshParts
-from carobmoor.mesh._state import MeshNode
 from carobmoor.telemetry import logger_for
 from carobmoor.transport import get_header
 
@@ -35,32 +34,44 @@
     parts.gossip.notify_change()
     node.gate.refuse_waiting()
     requests_end_s = node.stop_times.requests_end_s
-    await _wait_idle(node, requests_end_s, _MIN_IDLE_S)
+    await _wait_idle(parts, requests_end_s, _MIN_IDLE_S)
     if node.backend.last_announcement is None or not node.backend.is_ready:
         await _remove_row(parts)
     parts.callers.close()
     parts.nodes.close()
     # Requests may have been accepted since the last look.
-    await _wait_idle(node, requests_end_s + _REMOVE_ROW_TIMEOUT_S, 0)
+    await _wait_idle(parts, requests_end_s + _REMOVE_ROW_TIMEOUT_S, 0)
     _log_cut_answers(parts)
 
 
-async def _wait_idle(node: MeshNode, until_s: float, min_idle_s: float) -> None:
+async def _wait_idle(
+    parts: MeshParts, until_s: float, min_idle_s: float
+) -> None:
     """Wait until no request has run for a time, but no longer than `until_s`.
 
     A request counts from its arrival, so that a quiet moment shows that no
-    more are coming.
+    more are coming, and until the kernel has taken all of its answer: a slow
+    reader takes the last part long after its handler has returned.
     """
+    callers = parts.node.callers
     started_s = time.monotonic()
     while True:
         await asyncio.sleep(_POLL_INTERVAL_S)
         now_s = time.monotonic()
-        idle_s = now_s - max(node.callers.last_arrival_s, started_s)
-        busy = node.callers.unfinished or node.gate.state.in_flight_total
-        if now_s >= until_s or (not busy and idle_s > min_idle_s):
+        idle_s = now_s - max(callers.last_arrival_s, started_s)
+        if now_s >= until_s or (not _is_busy(parts) and idle_s > min_idle_s):
             return
 
 
+def _is_busy(parts: MeshParts) -> bool:
+    node = parts.node
+    return bool(
+        node.callers.unfinished
+        or node.gate.state.in_flight_total
+        or parts.callers.unfinished
+    )
+
+
 async def _remove_row(parts: MeshParts) -> None:
     """Delete the own row, since the backend server won't come back."""
     try:
