Let an owner stop only when other nodes have its answers

A caller at another node got a part of a large answer and a closed connection when the owner of its server was stopped.

Cause, as of the answers to callers: the slot is released when the backend server has sent everything, and the stop looked at slots alone. The write buffer of the connection to the other node and up to 1 MiB read ahead were dropped.

The stop now waits for the connections from other nodes too.

--- a/carobmoor/mesh/_leave.py
+++ b/carobmoor/mesh/_leave.py
@@ -69,6 +69,7 @@
         node.callers.unfinished
         or node.gate.state.in_flight_total
         or parts.callers.unfinished
+        or parts.nodes.unfinished
     )
 
 
--- a/carobmoor/mesh/tests/test_unsent_answers.py
+++ b/carobmoor/mesh/tests/test_unsent_answers.py
@@ -7,13 +7,14 @@
 
 from nose2.tools import params
 
-from carobmoor.mesh import leave_mesh_node
+from carobmoor.mesh import MeshNode, leave_mesh_node
 from carobmoor.mesh.tests.fixtures import (
     HOST,
     Mesh,
     NodeWithServer,
     make_route,
     make_table,
+    ready_announcement,
     running_mesh,
 )
 from carobmoor.mesh.tests.scripted import NAMES, id_header
@@ -84,13 +85,17 @@
             connection.abort()
 
 
+def _allow_long_stop(node: MeshNode) -> None:
+    bounds = node.settings.bounds._replace(stop_ms=STOP_MS)
+    node.settings = node.settings._replace(bounds=bounds)
+
+
 async def _stop_with_unsent_answer(
     mesh: Mesh, stopping: NodeWithServer, sizes: list[int]
 ) -> None:
     """Stop a node that holds the end of an answer; then read the answer."""
     gate = stopping.node.gate.state
-    bounds = stopping.node.settings.bounds._replace(stop_ms=STOP_MS)
-    stopping.node.settings = stopping.node.settings._replace(bounds=bounds)
+    _allow_long_stop(stopping.node)
     caller = await _connect(mesh.nodes[0].node.settings.caller_address)
     loop = asyncio.get_running_loop()
     await loop.sock_sendall(caller, REQUEST)
@@ -132,6 +137,33 @@
         await _stop_with_unsent_answer(mesh, mesh.nodes[0], sizes)
 
 
+# Guards against an owner that ends while another node still reads an answer
+# from it: the slot is free once the backend server has sent everything.
+@params(RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD)
+def test_stop_sends_answer_to_slow_node(kind):
+    """The owner ends only when the other node has got the whole answer."""
+    asyncio.run(_stop_owner(kind))
+
+
+async def _stop_owner(kind: RouteKind) -> None:
+    sizes: list[int] = []
+
+    async def serve(request: IncomingRequest) -> None:
+        size = await _answer_until(
+            request, lambda: _unsent_bytes(mesh.nodes[1]) > 0
+        )
+        sizes.append(size)
+
+    async with running_mesh(None, serve) as mesh:
+        mesh.nodes[0].announce(ready_announcement(service='other'))
+        await _publish(mesh, kind)
+        first = mesh.nodes[0].node
+        await mesh.wait_until(
+            lambda: len(first.peers.for_service('bookings')) < 2
+        )
+        await _stop_with_unsent_answer(mesh, mesh.nodes[1], sizes)
+
+
 async def _publish(mesh: Mesh, kind: RouteKind) -> None:
     mesh.publish(make_table(2, make_route(kind, timeout_ms=TIMEOUT_MS)))
     await mesh.wait_until(
