Let a node stop only when a check-in is acknowledged

A backend server whose check-in was being stored when the node beside it stopped got a closed connection in place of the acknowledgement.

Cause, as of the answers to callers: the stop looked at requests alone. The listener for check-ins now counts too. test_stop_acknowledges_check_in failed before (the stop had ended) and passes.

--- a/carobmoor/mesh/_leave.py
+++ b/carobmoor/mesh/_leave.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 from typing import Final
 
 from carobmoor.admission import stop_times
 from carobmoor.mesh._parts import MeshParts
 from carobmoor.telemetry import logger_for
-from carobmoor.transport import get_header
+from carobmoor.transport import Listener, get_header
 
 _MS_PER_S: Final = 1000
 _POLL_INTERVAL_S: Final = 0.05
@@ -65,12 +66,14 @@
 
 def _is_busy(parts: MeshParts) -> bool:
     node = parts.node
-    return bool(
-        node.callers.unfinished
-        or node.gate.state.in_flight_total
-        or parts.callers.unfinished
-        or parts.nodes.unfinished
-    )
+    if node.callers.unfinished or node.gate.state.in_flight_total:
+        return True
+    return any(listener.unfinished for listener in _promised(parts))
+
+
+def _promised(parts: MeshParts) -> Sequence[Listener]:
+    """Return the listeners whose answers a stop must not cut."""
+    return (parts.callers, parts.nodes, parts.announcements)
 
 
 async def _remove_row(parts: MeshParts) -> None:
@@ -89,7 +92,7 @@
     that names the same peer.
     """
     id_name = parts.node.names.request_id
-    for listener in (parts.callers, parts.nodes):
+    for listener in _promised(parts):
         for connection in listener.unfinished:
             _log.warning(
                 'Answer cut by the end of the process.',
--- a/carobmoor/mesh/tests/test_unsent_answers.py
+++ b/carobmoor/mesh/tests/test_unsent_answers.py
@@ -19,7 +19,13 @@
 )
 from carobmoor.mesh.tests.scripted import NAMES, id_header
 from carobmoor.routes import RouteKind
-from carobmoor.transport import Address, IncomingRequest
+from carobmoor.transport import (
+    Address,
+    ConnectionPool,
+    IncomingRequest,
+    OutgoingRequest,
+    send,
+)
 
 PIECE = b'x' * 32_768
 LAST_CHUNK = b'\r\n0\r\n\r\n'
@@ -80,7 +86,7 @@
 
 def _end_process(pair: NodeWithServer) -> None:
     """Drop what was not sent, as the end of the process does."""
-    for listener in (pair.callers, pair.nodes):
+    for listener in (pair.callers, pair.nodes, pair.announcements):
         for connection in tuple(listener.connections):
             connection.abort()
 
@@ -96,7 +102,8 @@
     """Stop a node that holds the end of an answer; then read the answer."""
     gate = stopping.node.gate.state
     _allow_long_stop(stopping.node)
-    caller = await _connect(mesh.nodes[0].node.settings.caller_address)
+    entry = mesh.nodes[0].node
+    caller = await _connect(entry.settings.caller_address)
     loop = asyncio.get_running_loop()
     await loop.sock_sendall(caller, REQUEST)
     await mesh.wait_until(lambda: bool(sizes))
@@ -164,6 +171,40 @@
         await _stop_with_unsent_answer(mesh, mesh.nodes[1], sizes)
 
 
+# Guards against a check-in of the backend server that a stop leaves without an
+# acknowledgement while it is being stored.
+def test_stop_acknowledges_check_in():
+    """The node ends only when a check-in that it has read is answered."""
+    asyncio.run(_check_in_while_stopping())
+
+
+async def _check_in_while_stopping() -> None:
+    stored = asyncio.Event()
+
+    async def store_and_acknowledge(request: IncomingRequest) -> None:
+        await stored.wait()
+        request.respond(200)
+
+    async with running_mesh(None) as mesh:
+        stopping = mesh.nodes[0]
+        _allow_long_stop(stopping.node)
+        stopping.announcements.serve = store_and_acknowledge
+        address = stopping.node.settings.announce_address
+        check_in = OutgoingRequest('POST', '/', (), b'{}')
+        sending = asyncio.create_task(
+            send(ConnectionPool(), address, check_in, UNREAD_S * 2)
+        )
+        await mesh.wait_until(lambda: bool(stopping.announcements.unfinished))
+        with mock.patch('carobmoor.mesh._leave._MIN_IDLE_S', MIN_IDLE_S):
+            leaving = asyncio.create_task(leave_mesh_node(stopping))
+            await asyncio.sleep(UNREAD_S)
+            assert not leaving.done()
+            stored.set()
+            await leaving
+        _end_process(stopping)
+        assert (await sending).unwrap().head.status == 200
+
+
 async def _publish(mesh: Mesh, kind: RouteKind) -> None:
     mesh.publish(make_table(2, make_route(kind, timeout_ms=TIMEOUT_MS)))
     await mesh.wait_until(
