Linger from the last byte sent, not from the last one written

A caller that took more than a second to read the end of a large answer lost it, if the connection closed behind the answer: on Connection: close, before a refusal, and at each node that stops.

Cause: the connection was half-closed when the last part was written, and reset a second later, with up to 64 KiB of it still in the write buffer. The same class as the cut at a stop: what was written counted as sent. The second now begins when the kernel has taken the last byte. A peer that takes nothing is cut by the guard, as before.

--- a/carobmoor/transport/_serving.py
+++ b/carobmoor/transport/_serving.py
@@ -29,6 +29,7 @@
     held_bytes_of,
     status_line,
 )
+from carobmoor.transport._linger import close_after_sending
 from carobmoor.transport._memory_account import MemoryAccount
 from carobmoor.transport._messages import Address, HeaderList
 from carobmoor.transport._read_buffer import read_buffer
@@ -36,8 +37,6 @@
 from carobmoor.transport._usage import ConnectionUsage
 
 _PAUSE_READING_BYTES: Final = 65536
-# How long a connection stays half-open, so that the peer reads the answer.
-_LINGER_S: Final = 1
 # Interval of the checks whether the peer has gone while reading is paused.
 _HANGUP_POLL_S: Final = 0.2
 # When a caller that found no room may come back.
@@ -594,19 +593,9 @@
         self._mark_lost()
 
     def _close_gracefully(self) -> None:
-        """Half-close first, since a reset could discard the answer."""
-        if self._transport.is_closing():
-            return
-        if self._transport.can_write_eof():
-            try:
-                self._transport.write_eof()
-            except OSError:
-                # The peer has reset the connection, which was not read yet.
-                self._transport.abort()
-                return
+        """Close once the peer was sent everything; discard what it sends."""
+        close_after_sending(self._transport)
         self._update_reading()
-        loop = asyncio.get_running_loop()
-        loop.call_later(_LINGER_S, self._transport.abort)
 
     def _update_reading(self) -> None:
         """Pause or resume reading, by what has been read and not started."""
