Send whole answers before the product's own node ends

At a stop, a caller that took more than a second to read the end of its answer lost it: the node put a 408 behind the answer and reset the connection one second later.

The stop now waits until the kernel has taken all answers, within leave_most_ms; what it cuts then is logged.

--- a/carobmoor/node/_guarded_protocol.py
+++ b/carobmoor/node/_guarded_protocol.py
@@ -76,9 +76,14 @@
         """Whether the connection was closed or reset."""
         return self.transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """What was written and is still to be taken by the kernel."""
+        return self.transport.get_write_buffer_size()
+
     def load(self) -> ConnectionLoad:
         """Return the state of the connection for the guard."""
-        unsent_bytes = self.transport.get_write_buffer_size()
+        unsent_bytes = self.unsent_bytes
         return self._usage.load(self._phase(unsent_bytes), unsent_bytes)
 
     def resume_reading(self) -> None:
@@ -121,10 +126,7 @@
 
     def _update_held(self) -> None:
         """Update what the connection holds of the account."""
-        held_bytes = (
-            self._framing.unreported_bytes
-            + self.transport.get_write_buffer_size()
-        )
+        held_bytes = self._framing.unreported_bytes + self.unsent_bytes
         is_answered = self.cycle is None or self.cycle.response_complete
         if self.is_receiving or not is_answered:
             held_bytes += sum(
--- a/carobmoor/node/_server.py
+++ b/carobmoor/node/_server.py
@@ -30,11 +30,11 @@
     ConnectionGuard,
     MemoryAccount,
     bind_socket,
+    close_after_sending,
     slices,
 )
 
 _KEEP_ALIVE_S: Final = 75
-_REFUSAL_LINGER_S: Final = 1
 _REQUEST_TIMEOUT_STATUS: Final = 408
 
 
@@ -104,7 +104,7 @@
 
     def give_up(self) -> None:
         """Refuse the request being read, or close if an answer is not read."""
-        if self.is_receiving and not self.transport.get_write_buffer_size():
+        if self.is_receiving and not self.unsent_bytes:
             self._refuse(Code.QUEUE_FULL, 'no progress')
         else:
             self.abort()
@@ -239,11 +239,7 @@
         if self._refusal:
             self.transport.write(self._refusal)
             self._refusal = b''
-        # Closing with unread bytes would reset the connection, and the
-        # refusal could be lost.
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        self.loop.call_later(_REFUSAL_LINGER_S, self.transport.abort)
+        close_after_sending(self.transport)
 
 
 def make_server(
--- a/carobmoor/node/_shutdown.py
+++ b/carobmoor/node/_shutdown.py
@@ -29,6 +29,7 @@
 # listener is closed. Callers send it at once, but packets may be lost.
 _FIRST_REQUEST_TIMEOUT_S: Final = 0.5
 _FIRST_REQUEST_POLL_S: Final = 0.02
+_UNSENT_POLL_S: Final = 0.05
 _log = logger_for('leaving')
 
 
@@ -155,6 +156,7 @@
         return True
     shutdown_task.cancel()
     _report_aborted_requests(shutdown)
+    _report_cut_answers(server)
     server.force_exit = True
     return True
 
@@ -173,6 +175,7 @@
     await _wait_for_first_requests(server)
     _close_idle_connections(server, keep_unused=False)
     await shutdown.idle.wait()
+    await _wait_until_sent(server)
 
 
 def _close_idle_connections(server: Any, *, keep_unused: bool) -> None:
@@ -190,6 +193,22 @@
         await asyncio.sleep(_FIRST_REQUEST_POLL_S)
 
 
+async def _wait_until_sent(server: Any) -> None:
+    """Wait until the kernel has taken all answers.
+
+    A slow caller reads the end of its answer long after its request has ended.
+    """
+    while True:
+        if not _has_unsent_answers(server):
+            return
+        await asyncio.sleep(_UNSENT_POLL_S)
+
+
+def _has_unsent_answers(server: Any) -> bool:
+    connections = server.server_state.connections
+    return any(connection.unsent_bytes for connection in connections)
+
+
 def _has_unused_connections(server: Any) -> bool:
     connections = server.server_state.connections
     return any(connection.is_unused for connection in connections)
@@ -204,3 +223,13 @@
             service=pending.context.service,
             code=Code.OUTCOME_UNKNOWN.value,
         )
+
+
+def _report_cut_answers(server: Any) -> None:
+    for connection in tuple(server.server_state.connections):
+        if connection.unsent_bytes:
+            _log.error(
+                'Answer cut by the end of the process.',
+                peer=connection.peer,
+                unsent_bytes=connection.unsent_bytes,
+            )
--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -21,6 +21,7 @@
     ServingLimits,
 )
 from carobmoor.transport._json import JsonAnswer, read_whole, request_json
+from carobmoor.transport._linger import close_after_sending
 from carobmoor.transport._memory_account import (
     AccountShare,
     MemoryAccount,
@@ -53,6 +54,7 @@
     'ConnectionUsage',
     'Phase',
     'bind_socket',
+    'close_after_sending',
     'read_buffer',
     'SLICE_BYTES',
     'FramingMeter',
