Treat an answer without a valid status as malformed

A caller got 200 with the body of an earlier answer with status 000 before its own, or waited until its deadline; statuses of 600 and more were passed on.

Cause: each status below 200 counted as informational. The head was dropped, and the body went into the buffer of the awaited answer. A status outside 100 to 599 closes the connection now, as a malformed answer; there is one parser for all answers, those of nodes and of the store too.

--- a/carobmoor/mesh/tests/test_faulty_answers.py
+++ b/carobmoor/mesh/tests/test_faulty_answers.py
@@ -142,3 +142,29 @@
             assert (got.head.status, got.body) in expected, kept_bytes
 
     run(check, answer)
+
+
+# Guards against a caller that gets the body of an answer with status 000 as the
+# start of its own, or waits for its deadline.
+@params('/get/1', '/post/1')
+def test_answer_without_status_is_no_answer(target):
+    """The caller gets a failure that does not say "not run".
+
+    A request that may run again is answered by the other server.
+    """
+    body = b'' if target.startswith('/get') else b'x'
+    junk = b'HTTP/1.1 000 X\r\nx-id: request-1\r\ncontent-length: 4\r\n\r\njunk'
+
+    def answer(request: RawRequest) -> RawAnswer:
+        if request.target == '/health':
+            return HEALTHY
+        return RawAnswer((junk, success('request-1')))
+
+    async def check(mesh: Mesh) -> None:
+        received = await ask_faulty(mesh, target, body, 'request-1')
+        if body:
+            assert received.head.status == BAD_GATEWAY
+        else:
+            assert (received.head.status, received.body) == (OK, b'done')
+
+    run(check, answer)
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -32,7 +32,9 @@
 _MAX_ABANDONED_BYTES: Final = 262144
 # How long an abandoned connection waits for the peer to close it.
 _LINGER_S: Final = 10
+_FIRST_STATUS: Final = 100
 _LAST_INFORMATIONAL_STATUS: Final = 199
+_LAST_STATUS: Final = 599
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _KEEP_ALIVE: Final = b'keep-alive'
 # Seconds until the peer closes the connection, if it stays idle.
@@ -238,9 +240,12 @@
         The answer of another request is skipped.
         """
         parser = self._parser
-        if parser is None:
+        if parser is None or not self.is_open:
             return
         status = parser.get_status_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            self.close(f'malformed answer: status {status:03}')
+            return
         if self.is_answer_complete or status <= _LAST_INFORMATIONAL_STATUS:
             return
         head = AnswerHead(status, self._headers)
