Count an abandoned answer as incomplete

A reader could take none or a part of an answer for the whole, if its request was given up at the moment in which the answer arrived: abandoning drops what was received, but an answer that had been complete stayed so, and one without a length became so when the peer closed.

--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -191,6 +191,8 @@
 
     def eof_received(self) -> None:
         """End a body without a length when the peer closes."""
+        if self._is_abandoned:
+            return
         if self._ends_with_close and self._head is not None:
             self.is_answer_complete = True
             self._peer_keeps_alive = False
@@ -397,12 +399,14 @@
 
         A server that watches for the end of the stream cancels the request;
         its close shows that it no longer works on it. A connection that
-        can't be half-closed, or has unsent data, is closed at once.
+        can't be half-closed, or has unsent data, is closed at once. What was
+        received is dropped, so that the answer counts as incomplete.
         """
         transport = self._transport
         if transport is None or not self.is_open:
             return
         self._drop_received()
+        self.is_answer_complete = False
         if not transport.can_write_eof() or self._is_writing:
             self.close(reason)
             return
--- a/carobmoor/transport/tests/test_half_close.py
+++ b/carobmoor/transport/tests/test_half_close.py
@@ -7,6 +7,8 @@
 import asyncio
 import errno
 
+from nose2.tools import params
+
 from carobmoor.transport.tests.fixtures import PipelinedConnection, get
 from carobmoor.transport.tests.test_fuzz_answers import connection_with_request
 
@@ -39,3 +41,23 @@
 
 def _fail() -> None:
     raise NOT_CONNECTED
+
+
+# Guards against an answer whose reader gets none or a part of it as the whole,
+# since its request was given up while it arrived.
+@params(
+    b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone',
+    b'HTTP/1.1 200 OK\r\n\r\npart',
+)
+def test_abandoned_answer_is_not_complete(received):
+    """What was dropped counts as lost, also once the peer closes."""
+    asyncio.run(_abandon_answer(received))
+
+
+async def _abandon_answer(received: bytes) -> None:
+    connection, _ = connection_with_request()
+    connection.data_received(received)
+    connection.abandon('sending the request body failed')
+    connection.eof_received()
+    assert not connection.is_answer_complete
+    assert not await connection.read_chunk()
