Read no server error beyond what is buffered

Cause: before another server was tried, the error was read to its end, to use its connection again, and every part was kept, outside the memory account.

test_endless_error_is_not_read failed before (the caller got no answer of the other server) and passes.

--- a/carobmoor/mesh/_relay.py
+++ b/carobmoor/mesh/_relay.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import time
-from collections.abc import AsyncIterator
 from typing import Final
 
 from result import Err, Result
@@ -15,12 +14,10 @@
 from carobmoor.mesh._state import MeshNode
 from carobmoor.outcomes import Code, Failure, Unknown
 from carobmoor.routes import RouteKind
-from carobmoor.telemetry import logger_for
 from carobmoor.transport import AnswerIncomplete, get_header
 
 _FIRST_SERVER_ERROR: Final = 500
 _LENGTH: Final = b'content-length'
-_log = logger_for('relay')
 
 
 async def relay_answer(
@@ -56,8 +53,8 @@
     pending.sends += 1
     pending.may_have_run = True
     is_good = answer.status < _FIRST_SERVER_ERROR
+    # What was not read of the error is never read: it may have no end.
     if not is_good and _can_retry_elsewhere(node, pending):
-        await _discard_answer(answer)
         peer.success.record_outcome(False, time.monotonic())
         detail = f'status {answer.status}'
         pending.last_failure = Unknown('answer', str(peer.address), detail)
@@ -99,22 +96,6 @@
     return False
 
 
-async def _discard_answer(answer: ReadAnswer) -> None:
-    """Read and discard an answer, so that its connection is reused."""
-    rest = answer.rest
-    if rest is None:
-        return
-    try:
-        await _read_all(rest)
-    except AnswerIncomplete as broken:
-        reason = broken.failure.reason
-        _log.debug('Discarded answer broke off.', reason=reason)
-
-
-async def _read_all(chunks: AsyncIterator[bytes]) -> bytes:
-    return b''.join([chunk async for chunk in chunks])
-
-
 async def _send_answer(
     node: MeshNode, pending: PendingRequest, answer: ReadAnswer
 ) -> None:
--- a/carobmoor/mesh/tests/test_endless_answers.py
+++ b/carobmoor/mesh/tests/test_endless_answers.py
@@ -4,15 +4,28 @@
 
 from nose2.tools import params
 
-from carobmoor.mesh.tests.fixtures import Mesh, running_mesh
-from carobmoor.mesh.tests.scripted import NAMES
-from carobmoor.transport import AnswerIncomplete, IncomingRequest, get_header
+from carobmoor.mesh.tests.fixtures import (
+    Mesh,
+    make_route,
+    make_table,
+    running_mesh,
+)
+from carobmoor.mesh.tests.scripted import NAMES, id_header
+from carobmoor.transport import (
+    AnswerIncomplete,
+    IncomingRequest,
+    get_header,
+)
 
 DEADLINE_MS = 400
 # Far beyond the deadline, below the test's own time limit.
 RELEASE_S = 1.5
 TEST_TIMEOUT_S = 20
 PIECE = b'x' * 8192
+LONG_DEADLINE_MS = 10_000
+# More than the kernel buffers on the way, far less than a server can send
+# until the deadline.
+MAX_SENT_BYTES = 24_000_000
 
 
 async def answer_without_end(request: IncomingRequest) -> None:
@@ -56,3 +69,42 @@
     except AnswerIncomplete:
         return
     raise AssertionError(f'{len(answer.body)} bytes passed for a whole answer')
+
+
+# Guards against a node that keeps, or reads until the deadline, the body of a
+# server error that it discards to try another server.
+@params(False)
+def test_endless_error_is_not_read(is_remote):
+    """Another server answers, and the endless body is cut off soon."""
+    asyncio.run(_ask_for_endless_error(is_remote))
+
+
+async def _ask_for_endless_error(is_remote: bool) -> None:
+    sent_bytes = 0
+    ended = asyncio.Event()
+
+    async def fail_without_end(request: IncomingRequest) -> None:
+        nonlocal sent_bytes
+        request.start(500, (id_header(request),), None)
+        try:
+            while not request.disconnected.done():
+                await request.write(PIECE)
+                sent_bytes += len(PIECE)
+        finally:
+            ended.set()
+
+    async with asyncio.timeout(TEST_TIMEOUT_S), running_mesh() as mesh:
+        if is_remote:
+            await mesh.add(1, service='other')
+        await mesh.add(2, fail_without_end)
+        await mesh.add(3, zone='c')
+        route = make_route(timeout_ms=LONG_DEADLINE_MS)
+        mesh.publish(make_table(2, route))
+        await mesh.wait_until_connected()
+        first = mesh.nodes[0].node
+        await mesh.wait_until(lambda: first.version == 2)
+        answer = await mesh.ask(mesh.nodes[0], deadline_ms=LONG_DEADLINE_MS)
+        assert answer.body == b'done'
+        async with asyncio.timeout(RELEASE_S):
+            await ended.wait()
+    assert sent_bytes < MAX_SENT_BYTES, sent_bytes
