Stop reading an answer for a node that has gone

An owner read a body without end until the deadline of its request, after the node that had asked had left, and held the slot as long.

Cause: the owner reads on for a request that may run only once, which must not be cut, but did so for each kind. A request that may be repeated ends now with its node. The case test_endless_error_is_not_read:2 failed before (the server's connection stayed open beyond 1.5 s) and passes.

--- a/carobmoor/mesh/_peer_requests.py
+++ b/carobmoor/mesh/_peer_requests.py
@@ -9,7 +9,7 @@
 
 from carobmoor.mesh._compression import pack_routes
 from carobmoor.mesh._datagrams import LOAD_HEADER, encode_datagram
-from carobmoor.mesh._hop import HOP_HEADER, decode_hop
+from carobmoor.mesh._hop import HOP_HEADER, Hop, decode_hop
 from carobmoor.mesh._owner import BackendAnswer, run_on_backend
 from carobmoor.mesh._owner_request import Body, OwnerRequest
 from carobmoor.mesh._state import MeshNode
@@ -103,7 +103,7 @@
         node,
         request,
         ran.ok_value,
-        request.arrived_at_s + hop.remaining_ms / _MS_PER_S,
+        hop,
     )
 
 
@@ -111,12 +111,13 @@
     node: MeshNode,
     request: IncomingRequest,
     answer: BackendAnswer,
-    deadline_s: float,
+    hop: Hop,
 ) -> None:
     """Pass an answer on; release its slot however that ends."""
+    deadline_s = request.arrived_at_s + hop.remaining_ms / _MS_PER_S
     try:
         async with asyncio.timeout_at(deadline_s):
-            await _send_answer(node, request, answer)
+            await _send_answer(node, request, answer, hop.kind.may_repeat)
     except (AnswerIncomplete, CallerLost, TimeoutError):
         request.abort()
     finally:
@@ -138,6 +139,7 @@
     node: MeshNode,
     request: IncomingRequest,
     answer: BackendAnswer,
+    may_cut: bool,
 ) -> None:
     length = get_header(answer.headers, _LENGTH)
     headers = [
@@ -149,10 +151,12 @@
     request.start(answer.status, headers, int(length) if length else None)
     async with contextlib.aclosing(answer.chunks()) as chunks:
         async for chunk in chunks:
-            # Read on after the caller disconnected: a request that may run
-            # only once must not be cut.
             if not request.disconnected.done():
                 await request.write(chunk)
+            elif may_cut:
+                raise CallerLost(request.peer)
+            # Otherwise read on: a request that may run only once must not be
+            # cut.
     request.end()
 
 
--- a/carobmoor/mesh/tests/test_endless_answers.py
+++ b/carobmoor/mesh/tests/test_endless_answers.py
@@ -73,7 +73,7 @@
 
 # Guards against a node that keeps, or reads until the deadline, the body of a
 # server error that it discards to try another server.
-@params(False)
+@params(False, True)
 def test_endless_error_is_not_read(is_remote):
     """Another server answers, and the endless body is cut off soon."""
     asyncio.run(_ask_for_endless_error(is_remote))
