Keep no more than 64 KiB of a health check

A server whose answer to a health check never ends made its node keep up to 64 MiB for each check, of which only the head is used.

Cause: the limit was that of documents. test_endless_health_answer_is_cut failed before (70,729,728 bytes taken) and passes (less than the 24 MB that the kernel may buffer).

--- a/carobmoor/mesh/_slowdown.py
+++ b/carobmoor/mesh/_slowdown.py
@@ -29,6 +29,8 @@
 # Interval of the checks while a request waits.
 _POLL_S: Final = 0.012
 _TIMEOUT_S: Final = 0.25
+# Of the body of a health check, which is not used.
+_MAX_HEALTH_BYTES: Final = 65_536
 _log = logger_for('pace')
 
 
@@ -124,6 +126,7 @@
             query.address,
             OutgoingRequest('GET', path, ()),
             _TIMEOUT_S,
+            _MAX_HEALTH_BYTES,
         )
         now_s = time.monotonic()
         if isinstance(response, Err):
--- a/carobmoor/mesh/tests/test_endless_answers.py
+++ b/carobmoor/mesh/tests/test_endless_answers.py
@@ -14,6 +14,8 @@
 from carobmoor.transport import (
     AnswerIncomplete,
     IncomingRequest,
+    Listener,
+    ServingLimits,
     get_header,
 )
 
@@ -108,3 +110,30 @@
         async with asyncio.timeout(RELEASE_S):
             await ended.wait()
     assert sent_bytes < MAX_SENT_BYTES, sent_bytes
+
+
+# Guards against health checks whose answers are kept although only their heads
+# are used.
+def test_endless_health_answer_is_cut():
+    """The check ends as failed after a small part of the body."""
+    asyncio.run(_check_health())
+
+
+async def _check_health() -> None:
+    sent_bytes = 0
+
+    async def answer_health(request: IncomingRequest) -> None:
+        nonlocal sent_bytes
+        request.start(200, (), None)
+        while not request.disconnected.done():
+            await request.write(PIECE)
+            sent_bytes += len(PIECE)
+
+    async with asyncio.timeout(TEST_TIMEOUT_S), running_mesh(None) as mesh:
+        node = mesh.nodes[0].node
+        await mesh.nodes[0].backend.stop()
+        health = Listener(answer_health, ServingLimits)
+        await health.listen(node.settings.backend_server)
+        await node.slowdown_monitor.ask()
+        health.stop_accepting()
+    assert 0 < sent_bytes < MAX_SENT_BYTES, sent_bytes
--- a/carobmoor/transport/_json.py
+++ b/carobmoor/transport/_json.py
@@ -40,10 +40,11 @@
     address: Address,
     request: OutgoingRequest,
     timeout_s: float,
+    max_body_bytes: int = _MAX_BODY_BYTES,
 ) -> Result[JsonAnswer, CallFailure]:
     """Send a request and read the complete answer within `timeout_s`.
 
-    The answer's body may hold at most 64 MiB.
+    The call fails if the body exceeds its limit, 64 MiB by default.
     """
     deadline_s = time.monotonic() + timeout_s
     sent = await send(
@@ -54,7 +55,7 @@
     answer = sent.ok_value
     remaining_s = deadline_s - time.monotonic()
     try:
-        body = await read_whole(answer, _MAX_BODY_BYTES, remaining_s)
+        body = await read_whole(answer, max_body_bytes, remaining_s)
     except AnswerIncomplete as error:
         return Err(error.failure)
     return Ok(JsonAnswer(answer.head, body))
