Bound the head of an answer by what it takes in memory

A server that sent the head of an answer without end, in short fields, made its node hold 7 MB for each slot (6,908,371 and 3,305,047 bytes at the peak in the test) until 256 KiB had come; heads were not counted.

Cause: only bytes were bounded, and a field of four bytes takes about a hundred. A head may have 64 KiB now, with 128 bytes added for each field, as for requests.

--- a/carobmoor/node/_guarded_protocol.py
+++ b/carobmoor/node/_guarded_protocol.py
@@ -7,6 +7,7 @@
 
 from carobmoor.node._caller_watch import SENT_EXTENSION
 from carobmoor.transport import (
+    FIELD_OVERHEAD_BYTES,
     ConnectionGuard,
     ConnectionLoad,
     ConnectionUsage,
@@ -17,7 +18,6 @@
 
 # The application keeps at most this much of a body that it passes on.
 _MAX_KEPT_BYTES: Final = 65_536
-_FIELD_OVERHEAD_BYTES: Final = 128
 
 
 class GuardedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
@@ -130,7 +130,7 @@
         is_answered = self.cycle is None or self.cycle.response_complete
         if self.is_receiving or not is_answered:
             held_bytes += sum(
-                len(name) + len(content) + _FIELD_OVERHEAD_BYTES
+                len(name) + len(content) + FIELD_OVERHEAD_BYTES
                 for name, content in self.headers
             )
         if not is_answered:
--- a/carobmoor/transport/__init__.py
+++ b/carobmoor/transport/__init__.py
@@ -23,6 +23,7 @@
 from carobmoor.transport._json import JsonAnswer, read_whole, request_json
 from carobmoor.transport._linger import close_after_sending
 from carobmoor.transport._memory_account import (
+    FIELD_OVERHEAD_BYTES,
     AccountShare,
     MemoryAccount,
     ProcessLimits,
@@ -56,6 +57,7 @@
     'bind_socket',
     'close_after_sending',
     'read_buffer',
+    'FIELD_OVERHEAD_BYTES',
     'SLICE_BYTES',
     'FramingMeter',
     'slices',
--- a/carobmoor/transport/_connection.py
+++ b/carobmoor/transport/_connection.py
@@ -12,7 +12,11 @@
 import httptools
 
 from carobmoor.transport._framing import FramingMeter, slices
-from carobmoor.transport._memory_account import AccountShare, MemoryAccount
+from carobmoor.transport._memory_account import (
+    FIELD_OVERHEAD_BYTES,
+    AccountShare,
+    MemoryAccount,
+)
 from carobmoor.transport._messages import (
     AnswerHead,
     OutgoingRequest,
@@ -24,6 +28,8 @@
 _PAUSE_READING_BYTES: Final = 262144
 # Received between two parts of a body: heads, chunk sizes, trailers.
 _MAX_BYTES_WITHOUT_BODY: Final = 262144
+# Of the fields of one head, with what each takes in memory.
+_MAX_HEAD_BYTES: Final = 65_536
 # How much of a read is parsed at once.
 _SLICE_BYTES: Final = 16384
 # Received of answers to other requests before the answer that is awaited.
@@ -73,6 +79,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
         self._head: AnswerHead | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -227,14 +234,19 @@
         self._writable = None
 
     def on_message_begin(self) -> None:
-        """Close if another answer follows the complete one."""
+        """Begin a head; close if it follows the complete answer."""
+        self._head_bytes = 0
         if self.is_answer_complete:
             self.close('received data after the end of the answer')
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Record a header of the answer; trailers are dropped."""
-        if self._head is None:
-            self._headers.append((name.lower(), content))
+        if self._head is not None or self._head_bytes > _MAX_HEAD_BYTES:
+            return
+        self._headers.append((name.lower(), content))
+        self._head_bytes += len(name) + len(content) + FIELD_OVERHEAD_BYTES
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            self.close(f'malformed answer: head of {self._head_bytes} bytes')
 
     def on_headers_complete(self) -> None:
         """Make the head of the answer available, unless it is informational.
--- a/carobmoor/transport/_incoming.py
+++ b/carobmoor/transport/_incoming.py
@@ -5,12 +5,11 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple, Protocol
 
+from carobmoor.transport._memory_account import FIELD_OVERHEAD_BYTES
 from carobmoor.transport._messages import HeaderList, get_header
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _LAST_CHUNK: Final = b'0\r\n\r\n'
-# Of a header field, beside its text.
-_FIELD_OVERHEAD_BYTES: Final = 128
 
 
 class ServingLimits(NamedTuple):
@@ -226,7 +225,7 @@
 
 def held_bytes_of(request: IncomingRequest) -> int:
     """Return the size of all that is held of a request."""
-    overhead_bytes = _FIELD_OVERHEAD_BYTES * len(request.headers)
+    overhead_bytes = FIELD_OVERHEAD_BYTES * len(request.headers)
     body_bytes = request.buffered_bytes + request.retained_bytes
     return request.head_bytes + overhead_bytes + body_bytes
 
--- a/carobmoor/transport/_memory_account.py
+++ b/carobmoor/transport/_memory_account.py
@@ -18,6 +18,8 @@
 # Of the instance's memory. The rest is for the process itself and for what
 # the allocator can't return.
 _MEMORY_SHARE: Final = 0.125
+# Of a header field, beside its text.
+FIELD_OVERHEAD_BYTES: Final = 128
 _BYTES_PER_MB: Final = 1_000_000
 # Descriptors that an instance reserves for files.
 _FILE_DESCRIPTORS: Final = 200
--- a/carobmoor/transport/tests/test_endless_bytes.py
+++ b/carobmoor/transport/tests/test_endless_bytes.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
+import tracemalloc
 
 from nose2.tools import params
 
+from carobmoor.transport import process_limits
 from carobmoor.transport.tests.fixtures import PipelinedConnection
 from carobmoor.transport.tests.test_fuzz_answers import connection_with_request
 
 PIECE = b'x' * 16_384
 PIECES = 64
+# Of the smallest instance, and of the server beside it.
+MEMORY_MB = 200
+SLOTS = 12
 CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 # Where the endless bytes begin, and what they consist of.
 ANSWERS = (
@@ -57,6 +62,24 @@
     assert transport.is_closing()
 
 
+# Guards against heads of very many fields, each of which takes far more memory
+# than its bytes: a node receives one for each slot of its server at once.
+@params(b'a:\r\n', b'name: text\r\n')
+def test_endless_head_holds_little(field):
+    """All heads together stay below what the node may hold."""
+    connection, transport = connection_with_request()
+    tracemalloc.start()
+    connection.data_received(b'HTTP/1.1 200 OK\r\n')
+    for _ in range(PIECES):
+        if not transport.is_closing():
+            connection.data_received(field * (len(PIECE) // len(field)))
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert transport.is_closing()
+    limits = process_limits(MEMORY_MB, 0)
+    assert peak_bytes < limits.max_held_bytes / SLOTS, peak_bytes
+
+
 POST_CHUNKED = b'POST /1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
