--- a/carobmoor/mesh/_peer_requests.py
+++ b/carobmoor/mesh/_peer_requests.py
@@ -99,12 +99,7 @@
     if isinstance(ran, Err):
         _refuse(node, request, ran.err_value, request_id)
         return
-    await _send_owned(
-        node,
-        request,
-        ran.ok_value,
-        hop,
-    )
+    await _send_owned(node, request, ran.ok_value, hop)
 
 
 async def _send_owned(
--- a/carobmoor/mesh/_relay.py
+++ b/carobmoor/mesh/_relay.py
@@ -53,7 +53,7 @@
     pending.sends += 1
     pending.may_have_run = True
     is_good = answer.status < _FIRST_SERVER_ERROR
-    # What was not read of the error is never read: it may have no end.
+    # The rest of a large error is not read, since it may have no end.
     if not is_good and _can_retry_elsewhere(node, pending):
         peer.success.record_outcome(False, time.monotonic())
         detail = f'status {answer.status}'
