--- a/review/stand_ins_3/stage.py
+++ b/review/stand_ins_3/stage.py
@@ -341,7 +341,7 @@
     def __init__(self, folder, layout, routes, bounds, extra=''):
         """`layout`: (zone, region, service) of each machine."""
         self.record = Record(folder)
-        self.bounds, self.extra = bounds, extra
+        self.bounds, self.extra, self.memory_mb = bounds, extra, 300
         net = f'127.{60 + os.getpid() % 100}.{os.getpid() // 100 % 250}'
         self.places = [Place(n, f'{net}.{n + 1}', *one) for n, one in enumerate(layout)]
         self.store_ip = f'{net}.250'
@@ -376,7 +376,7 @@
             f'listen.readiness={at("readiness")}\nlisten.control={at("control")}\n'
             f'internalPorts={self.ports["gossip"]},{self.ports["gossip2"]}\nseeds=\n'
             f'bootstrap={"true" if bootstrap else "false"}\ninFailureBudget=false\n'
-            f'limits.cpuShare=0.86\nlimits.cores=1\nlimits.memoryMb=300\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\n'
+            f'limits.cpuShare=0.86\nlimits.cores=1\nlimits.memoryMb={self.memory_mb}\nlimits.maxFds=4100\nlimits.linkMbps=1000.0\n'
             f'discovery=static\nentry=static\nheartbeat=1500ms\nbounds={self.bounds}\n'
             f'app={at("app")}\nservice={place.service}\n'
             f'platform.address={self.store_ip}:{self.ports["store"]}\nplatform.form=table\n'
