--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,8 +1,6 @@
-"""A crowd of connections sends heads of many short fields to two machines."""
+"""A zone is evacuated some seconds after a drill of the store."""
 
 import asyncio
-import contextlib
-import signal
 import sys
 from pathlib import Path
 
@@ -12,69 +10,59 @@
 BOUNDS = (
     'contact=3000ms,ack=5000ms,drain=3000ms,grace=6s,configApply=3000ms,'
     'partitionMax=5000ms,retryBudgetRatio=0.2,budgetWindow=10s,'
-    'retryBudgetSlack=182,probesPerS=60'
+    'retryBudgetSlack=182,evacuation=5000ms,probesPerS=60'
 )
-# The smallest machines of the pages have this memory.
-MEMORY_MB = 200
-CONNECTIONS = 900
-# Within `maxHeaderBytes`, 16,384; the head stops short of its end.
-FIELDS = 4_000 if TROUBLE else 4
-HEAD = b'GET /get/a HTTP/1.1\r\nHost: a\r\n' + FIELDS * b'a:\r\n'
-ROUNDS = 3
-ROUND_S = 18
-
-
-def resident_kb(pid):
-    with contextlib.suppress(OSError):
-        for line in Path(f'/proc/{pid}/status').read_text().splitlines():
-            if line.startswith('VmRSS:'):
-                return int(line.split()[1])
-    return 0
+EVACUATION_S = 5.0
+ZONE = 'praha-a'
 
 
 async def case():
-    layout = [('praha-a', 'cz-praha', 'ledger'), ('praha-b', 'cz-praha', 'ledger'), ('brno-a', 'cz-brno', 'ledger')]
+    layout = [
+        ('praha-a', 'cz-praha', 'ledger'),
+        ('praha-b', 'cz-praha', 'ledger'),
+        ('brno-a', 'cz-brno', 'ledger'),
+        ('brno-b', 'cz-brno', 'ledger'),
+    ]
     routes = manifest({'/get/': ('idempotent', 'ledger', '1000ms', 2)}, ['ledger'])
     stage = Stage(Path(__file__).parent, layout, routes, BOUNDS)
-    stage.memory_mb = MEMORY_MB
-    ended = {}
-
-    async def crowd(place):
-        """Press one machine until its process ends or the round is over."""
-        process, most = place.process, 0
-        connections = [await asyncio.open_connection(place.ip, stage.ports['outbound']) for _ in range(CONNECTIONS)]
-        stage.record.add(f'{CONNECTIONS} connections to node {place.number} send a head of {len(HEAD)} bytes each')
-        for _, writer in connections:
-            writer.write(HEAD)
-        until = now() + (ROUND_S if TROUBLE else 5)
-        while now() < until and process.returncode is None:
-            most = max(most, resident_kb(process.pid))
-            if most > MEMORY_MB * 1024:
-                # As the platform does with a process over its memory.
-                stage.record.add(f'node {place.number}: {most} kB resident, over the limit of {MEMORY_MB} MB')
-                stage.send_signal(place, signal.SIGKILL)
-                await process.wait()
-                ended[place.number] = ended.get(place.number, 0) + 1
-            await asyncio.sleep(0.05)
-        stage.record.add(f'node {place.number}: at most {most} kB resident')
-        for _, writer in connections:
-            writer.transport.abort()
-        if process.returncode is not None:
-            await stage.start_node(place)
-
+    numbers = iter(range(1, 100_000))
     try:
         await stage.open()
-        pressed = stage.places[:2]
-        for number in range(ROUNDS):
-            for place in pressed:
-                if (await stage.request(place, f'before-{number}-{place.number}'))[0] != 200:
-                    raise CannotRun('an ordinary request failed before the crowd came')
-                await crowd(place)
-            await stage.until_ready()
-            await asyncio.sleep(1)
-        lost = [number for number, times in ended.items() if times >= ROUNDS]
-        stage.record.add(f'processes over their memory, by node: {ended}')
-        return [f'processes ended over their memory, by node: {ended}'] if len(lost) >= 2 else []
+        store = stage.store
+        await asyncio.sleep(2)
+        # The copy that the drill goes back to.
+        store.take_copy()
+        # Two upstreams are replaced, of which their nodes write to the store,
+        # and a manifest is sent.
+        replaced = [stage.upstreams[p] for p in stage.places if p.region == 'cz-brno']
+        await asyncio.gather(*(one.replace(3.0) for one in replaced))
+        await asyncio.sleep(0.3)
+        stage.publish()
+        await asyncio.sleep(1)
+        if TROUBLE:
+            store.go_down()
+            await asyncio.sleep(0.5)
+            store.come_back(from_copy=True)
+            # What the operator wrote since the copy is written again.
+            stage.republish()
+        # Longer than `contact`, so that all machines are in touch again.
+        await asyncio.sleep(5)
+        store.put('op', f'evacuate/{ZONE}', 'e30=')
+        acknowledged = now()
+        while now() < acknowledged + EVACUATION_S + 5:
+            for place in stage.places:
+                await stage.request(place, f'q{next(numbers)}')
+            await asyncio.sleep(0.1)
+        late = [
+            (at - acknowledged, run[0])
+            for place, upstream in stage.upstreams.items()
+            if place.zone == ZONE
+            for at, *run in upstream.runs
+            if at > acknowledged + EVACUATION_S
+        ]
+        if not any(u.runs for u in stage.upstreams.values()):
+            raise CannotRun('no request ran at all')
+        return [f'{len(late)} requests ran in the evacuated zone more than 5 s after its acknowledgement, the last after {late[-1][0]:.1f} s'] if late else []
     finally:
         await stage.close()
 
