--- a/review/stand_ins_3/stage.py
+++ b/review/stand_ins_3/stage.py
@@ -349,7 +349,7 @@
         self.version = 0
         self.tmp = tempfile.mkdtemp(prefix='case-')
         self.upstreams = {}
-        self.starts = 0
+        self.store_server = None
         self.ports = self._free_ports()
 
     def _free_ports(self):
@@ -460,7 +460,8 @@
                 await place.process.wait()
         for one in self.upstreams.values():
             one.close()
-        self.store_server.close()
+        if self.store_server:
+            self.store_server.close()
         self.record.save()
         if keep := os.environ.get('KEEP_LOGS'):
             shutil.copytree(self.tmp, keep, dirs_exist_ok=True)
