--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,10 +1,8 @@
 """A zone is evacuated some seconds after a drill of the store."""
 
 import asyncio
-import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'stand_ins_3'))
 from stage import TROUBLE, CannotRun, Stage, main, manifest, now
 
 BOUNDS = (
@@ -13,16 +11,15 @@
     'retryBudgetSlack=182,evacuation=5000ms,probesPerS=60'
 )
 EVACUATION_S = 5.0
+# How long the zone stays evacuated (site file: 8 s).
+EVACUATED_S = 8.0
 ZONE = 'praha-a'
 
 
 async def case():
-    layout = [
-        ('praha-a', 'cz-praha', 'ledger'),
-        ('praha-b', 'cz-praha', 'ledger'),
-        ('brno-a', 'cz-brno', 'ledger'),
-        ('brno-b', 'cz-brno', 'ledger'),
-    ]
+    layout = [(zone, region, 'ledger') for zone, region in ((ZONE, 'cz-praha'), ('praha-b', 'cz-praha'),
+                                                            ('brno-a', 'cz-brno'), ('brno-b', 'cz-brno'))
+              for _ in range(2)]
     routes = manifest({'/get/': ('idempotent', 'ledger', '1000ms', 2)}, ['ledger'])
     stage = Stage(Path(__file__).parent, layout, routes, BOUNDS)
     numbers = iter(range(1, 100_000))
@@ -34,7 +31,7 @@
         store.take_copy()
         # Two upstreams are replaced, of which their nodes write to the store,
         # and a manifest is sent.
-        replaced = [stage.upstreams[p] for p in stage.places if p.region == 'cz-brno']
+        replaced = [stage.upstreams[p] for p in stage.places if p.zone == 'brno-a']
         await asyncio.gather(*(one.replace(3.0) for one in replaced))
         await asyncio.sleep(0.3)
         stage.publish()
@@ -49,7 +46,7 @@
         await asyncio.sleep(5)
         store.put('op', f'evacuate/{ZONE}', 'e30=')
         acknowledged = now()
-        while now() < acknowledged + EVACUATION_S + 5:
+        while now() < acknowledged + EVACUATED_S:
             for place in stage.places:
                 await stage.request(place, f'q{next(numbers)}')
             await asyncio.sleep(0.1)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# The stand-ins of cases 11 to 15 need the standard library only.
+# Each case has its stand-ins in its own folder; they need the standard library
+# only, so this checks that they compile, without leaving anything behind.
 set -e
 cd "$(dirname "$0")"
-python3 -m py_compile stand_ins_3/stage.py
-for case in 1[1-5]/case.py; do
-  [ ! -e "$case" ] || python3 -m py_compile "$case"
+for file in 1[1-5]/case.py 1[1-5]/stage.py; do
+  python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$file"
 done
